--- /dev/null
+++ b/internal/core/arrays.go
@@ -0,0 +1,235 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"frostdock.example/frostdock/internal/intake"
+	"frostdock.example/frostdock/internal/placement"
+	"frostdock.example/frostdock/internal/policy"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// average is the job's mean task time as observed, and of how many tasks; zero
+// if nothing is known.
+func (j *job) average() (units.Micros, int) {
+	n := j.avgOf + j.runCount
+	if n == 0 {
+		return 0, 0
+	}
+	return max(minAverage, (j.avg*units.Micros(j.avgOf)+j.runSum)/units.Micros(n)), n
+}
+
+// placeArrays is hSRTF-Pr: jobs in order of remaining time, each up to its
+// share, and what is left over to whoever can use it in the same order.
+func (c *Core) placeArrays(b *batch, jobs []*job) {
+	room := 0.0
+	slice := map[string]int{} // machines of each type in the slice
+	for _, d := range b.drafts {
+		if d.gd.own && d.usable {
+			room += d.cpus
+			slice[d.m.doc.Type]++
+		}
+	}
+	var active []*job
+	sum, known := units.Micros(0), 0
+	average := map[*job]units.Micros{}
+	running := map[*job]int{}
+	for _, j := range jobs {
+		if j.spec.Service || j.cancelled {
+			continue
+		}
+		for n := range j.bound {
+			if !j.isDone(n) {
+				running[j]++
+			}
+		}
+		room += float64(running[j]) * j.spec.CPUs
+		if average[j] = c.observed(j); average[j] > 0 {
+			sum += average[j]
+			known++
+		}
+		active = append(active, j)
+	}
+	if len(active) == 0 {
+		return
+	}
+	borrowed := firstGuess
+	if known > 0 {
+		borrowed = sum / units.Micros(known)
+	}
+	if c.now-b.o.refresh >= c.pol.Refresh {
+		b.o.refresh = c.now
+		for _, j := range active {
+			j.share = 0
+		}
+	}
+	list := make([]placement.Job, 0, len(active))
+	byID := map[string]*job{}
+	for _, j := range active {
+		avg := average[j]
+		if avg == 0 {
+			avg = borrowed
+		}
+		cap := 0
+		for i := range c.cloud.types {
+			if t := &c.cloud.types[i]; slice[t.Name] > 0 && intake.Fits(&j.spec, t) {
+				cap += slice[t.Name] * int(t.CPUs/j.spec.CPUs)
+			}
+		}
+		list = append(list, placement.Job{
+			ID: j.id, Total: j.spec.Tasks, Unfinished: j.spec.Tasks - j.doneCount(), Capacity: max(cap/len(active), 1), Average: avg,
+			Age: units.Micros(max(0, int64(c.wall)-j.spec.At)), PerTask: j.spec.CPUs, Share: j.share,
+			Weight: c.weight(j),
+		})
+		byID[j.id] = j
+	}
+	results := placement.Shares(list, room)
+	b.pickGroups()
+	for pass := 0; pass < 2; pass++ {
+		for _, r := range results {
+			j := byID[r.ID]
+			j.share = r.Share
+			if c.now < j.retryAt {
+				continue
+			}
+			most := j.spec.Tasks
+			if pass == 0 {
+				most = max(1, int(r.Share/j.spec.CPUs+1e-9))
+			}
+			if j.failures >= 3 {
+				most = 1 // it fails wherever it runs: try one task at a time
+			}
+			if running[j] >= min(most, j.spec.Tasks-j.doneCount()) {
+				continue
+			}
+			var d *draft
+			for n := j.next(0); n >= 0 && running[j] < most && b.ops >= 0; n = j.next(n + 1) {
+				if !b.underLimit(j) {
+					break
+				}
+				// Neighbours go together: where one fitted best, so does the next.
+				if d == nil || !d.fits(j) || !c.allowed(j, d.m) {
+					d = b.choose(j)
+				}
+				if d != nil {
+					b.put(d, j, n)
+				} else if !c.recall(b, j, n) {
+					break
+				}
+				running[j]++
+			}
+		}
+	}
+}
+
+// pickGroups chooses the groups that arrays may use in this batch. While changes
+// are scarce, each must start as much as it can: the groups with the most free
+// room come first.
+func (b *batch) pickGroups() {
+	type roomy struct {
+		gd   *groupDraft
+		free float64
+	}
+	var all []roomy
+	for _, gd := range b.groups {
+		if gd.changed || !gd.own && b.busy[gd.g.part] {
+			continue
+		}
+		free := 0.0
+		for _, d := range gd.drafts {
+			if d.usable {
+				free += d.cpus
+			}
+		}
+		if free > 0 {
+			all = append(all, roomy{gd, free})
+		}
+	}
+	if len(all) <= b.ops {
+		return
+	}
+	slices.SortStableFunc(all, func(x, y roomy) int { return cmp.Compare(y.free, x.free) })
+	b.picked = true
+	for _, r := range all[:max(0, b.ops)] {
+		r.gd.picked = true
+	}
+}
+
+var gradeNames = [...]string{"best_effort", "standard", "urgent", "production"}
+
+// weight is what the operators' script says of a job.
+func (c *Core) weight(j *job) float64 {
+	age := max(0, c.wall-units.Micros(j.spec.At))
+	due := 0.0
+	if j.spec.DueS > 0 {
+		due = j.spec.DueS - age.Seconds()
+	}
+	w, err := c.pol.Weight(policy.Job{Class: j.spec.Class, Grade: gradeNames[j.spec.Grade], Tasks: j.spec.Tasks, AgeS: age.Seconds(), DueInS: due})
+	if err != nil && c.every("weight", units.Second*60) {
+		c.log.Warn("policy gives no weight, using 1", "job", j.id, "err", err)
+	}
+	return w
+}
+
+// recall gives a team its guarantee: it takes the room back from work that
+// other teams run beyond theirs.
+func (c *Core) recall(b *batch, j *job, n int) bool {
+	if !b.within(j.spec.Team, j.spec.CPUs, j.spec.GPUs) {
+		return false
+	}
+	return c.preempt(b, j, n, false, func(v *job) bool {
+		return v.spec.Team != j.spec.Team && !b.within(v.spec.Team, 0, 0)
+	})
+}
+
+func (j *job) doneCount() int {
+	return j.done.Len() + len(j.extra)
+}
+
+// next is the first task from n on that is neither done nor bound, or -1.
+// Tasks are taken in order, so that the ranges of done ones stay few.
+func (j *job) next(n int) int {
+	if j.done.Ranges()+len(j.extra) > maxHoles {
+		return -1
+	}
+	// All before the first gap are done: in an array of 100,000 that is most.
+	for n = max(n, j.done.Missing()); n < j.spec.Tasks; n++ {
+		if _, ok := j.bound[n]; !ok && !j.isDone(n) {
+			return n
+		}
+	}
+	return -1
+}
+
+// observed is a job's average task time: finished tasks, with running ones'
+// elapsed time as a lower bound.
+func (c *Core) observed(j *job) units.Micros {
+	avg, _ := j.average()
+	if avg == 0 {
+		return 0
+	}
+	var over, late units.Micros
+	for n, b := range j.bound {
+		if b.m.rt == nil {
+			continue
+		}
+		if run, ok := b.m.rt.runs[taskKey{j.id, n, b.attempt}]; ok && c.now-run.at > avg {
+			over += c.now - run.at - avg
+			late++
+		}
+	}
+	// The late ones count with what they have taken so far, as if they ended now.
+	return avg + over/(units.Micros(j.doneCount())+late+1)
+}
+
+// waiting counts the tasks that are neither done nor bound.
+func (j *job) waiting() int {
+	n := j.spec.Tasks - j.doneCount()
+	for t := range j.bound {
+		if !j.isDone(t) {
+			n--
+		}
+	}
+	return max(0, n)
+}
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,7 +20,8 @@
 	seq      uint64
 	refresh  units.Micros
 	pauseTo  units.Micros
-	needRev  uint64 // no planning before the replica has come this far
+	planAt   units.Micros // not before
+	needRev  uint64       // no planning before the replica has come this far
 }
 
 const holdTTL = 5 * units.Second
@@ -112,7 +114,7 @@
 		c.owned[n] = o
 		c.log.Info("own partition", "partition", n, "epoch", o.epoch)
 		for _, m := range c.sortedMachines() {
-			if m.doc.Part == n {
+			if m.part() == n {
 				c.acquire(m, o)
 			}
 		}
@@ -120,7 +122,7 @@
 		delete(c.owned, n)
 		c.log.Info("partition passed on", "partition", n, "to", p.doc.Member, "epoch", p.doc.Epoch)
 		for _, m := range c.rep.machines {
-			if m.doc.Part == n {
+			if m.g.part == n {
 				m.rt = nil
 			}
 		}
@@ -158,7 +160,7 @@
 	var orphans []int
 	for n := 0; n < c.cfg.Settings.Size; n++ {
 		if p := c.rep.parts[n]; p != nil && c.ownerAlive(p) {
-			load[p.doc.Member+"/"+p.doc.Inc]++
+			load[p.doc.Member+"/"+p.doc.Inc] += c.burden(n)
 		} else {
 			orphans = append(orphans, n)
 		}
@@ -170,7 +172,7 @@
 				best = l
 			}
 		}
-		load[best]++
+		load[best] += c.burden(n)
 		first, ok := c.lastAt["orphan"+strconv.Itoa(n)]
 		if !ok {
 			first = c.now
@@ -237,22 +239,25 @@
 	})
 }
 
-// giveAway hands a partition to a member that has none and has lived long
-// enough to be trusted with one.
-func (c *Core) giveAway(load map[string]int, me string) {
-	if load[me] < 2 {
-		return
+// burden is how much work a partition is, against others: one without teams is
+// next to none.
+func (c *Core) burden(part int) int {
+	if slices.Contains(c.teamParts, part) {
+		return 100
 	}
+	return 1
+}
+
+// giveAway hands a partition to a member that has less to do even with it, and
+// has lived long enough to be trusted with one.
+func (c *Core) giveAway(load map[string]int, me string) {
 	for _, l := range c.living() {
-		if load[l] > 0 {
-			continue
-		}
 		if c.now-c.rep.nodes[state.Nodes+l] < 8*units.Second {
 			continue
 		}
 		for _, p := range c.ownedParts() {
 			o := c.owned[p]
-			if !o.inflight && c.now-o.since > 5*units.Second {
+			if !o.inflight && c.now-o.since > 5*units.Second && load[l]+c.burden(p) < load[me] {
 				c.claim(p, l)
 				return
 			}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -65,11 +65,14 @@
 			}
 		})
 	}
-	if c.every("idle", units.Second) {
+	if len(c.owned) > 0 && c.every("idle", units.Second) {
 		waiting := len(c.shortfalls(true)) > 0
 		c.consolidate(waiting)
 		c.returnIdle(waiting)
 	}
+	if c.every("delete", 200*units.Millisecond) {
+		c.deleteRetired()
+	}
 	if c.owned[0] == nil || !c.usable(0) || len(k.types) == 0 {
 		k.chargeAt = 0
 		return
@@ -79,19 +82,12 @@
 		k.hires = map[string]*hire{}
 		k.listed, k.listAt = map[string]provision.Listed{}, 0
 	}
-	if c.every("delete", 200*units.Millisecond) {
-		c.deleteRetired()
-	}
 	if !k.listing && c.every("list", 4*units.Second) {
 		c.list("", map[string]provision.Listed{}, c.now)
 	}
 	if c.every("hire", units.Second) {
 		c.settleHires()
-		for range 4 { // several requests, each for the offer that is best then
-			if !c.hireMore() {
-				break
-			}
-		}
+		c.rent()
 	}
 }
 
@@ -127,7 +123,7 @@
 		l, m := k.listed[name], c.rep.machines[name]
 		if m != nil {
 			delete(k.strayAt, name)
-			if l.State == provision.Failed && m.doc.Part >= 0 && m.rt != nil && c.now-m.rt.heardAt > c.cfg.Settings.Report()*2 {
+			if l.State == provision.Failed && m.rt != nil && c.now-m.rt.heardAt > c.cfg.Settings.Report()*2 {
 				c.retire("failed in the list", m)
 			}
 			continue
@@ -136,7 +132,7 @@
 		if t := c.machineType(l.Type); t != nil {
 			boot = t.BootS
 		}
-		if l.State == provision.Failed || l.AgeS > 3*boot+15 {
+		if l.State == provision.Failed || l.AgeS > 3*boot+15 && !c.heardLately(name) {
 			if _, ok := k.strayAt[name]; !ok {
 				k.strayAt[name] = c.now
 			}
@@ -154,8 +150,8 @@
 	if len(stray) == 0 {
 		return
 	}
-	if len(stray) > 100 {
-		stray = stray[:100]
+	if len(stray) > mostDeletes {
+		stray = stray[:mostDeletes]
 	}
 	c.log.Info("return machines that never reported", "machines", stray)
 	c.callCloud(CloudCall{Op: CloudDelete, Names: provision.Names{Machines: stray}}, func(d CloudDone) {
@@ -167,19 +163,24 @@
 	})
 }
 
+// heardLately reports whether a machine that is not entered yet reports here or
+// to another controller: it is not silent, only the store is slow.
+func (c *Core) heardLately(name string) bool {
+	at, ok := c.heard[name]
+	return ok && c.now-at < 3*c.cfg.Settings.Report() || c.othersHear(name)
+}
+
 // deleteRetired returns the machines marked for it; their entries go only when
 // the cloud has confirmed it, which proves that nothing runs there any more.
 func (c *Core) deleteRetired() {
 	k := &c.cloud
-	if k.deleting || c.tokens < 1 {
+	if k.deleting {
 		return
 	}
 	var names []string
-	stamps := map[string]uint64{}
 	for _, m := range c.sortedMachines() {
-		if m.doc.Part < 0 && len(names) < min(100, c.cfg.Settings.State.TxnOps, int(c.tokens)) {
+		if m.doc.Retired && !m.gone && c.usable(m.g.part) && len(names) < mostDeletes {
 			names = append(names, m.name)
-			stamps[m.name] = m.stamp
 		}
 	}
 	if len(names) == 0 {
@@ -191,17 +192,20 @@
 			c.after(300*units.Millisecond, func() { k.deleting = false })
 			return
 		}
+		k.deleting = false
 		c.log.Info("machines gone", "machines", names)
-		txn := &state.Txn{}
+		c.dirty = true
 		for _, n := range names {
-			key := state.Machines + n
-			txn.Guards = append(txn.Guards, state.Guard{Key: key, Stamp: stamps[n]})
-			txn.Apply = append(txn.Apply, state.Op{Delete: key})
+			if m := c.rep.machines[n]; m != nil && m.doc.Retired {
+				m.gone = true // the next write of its group drops it
+			}
 		}
-		c.commit(txn, "", func(outcome, uint64, []string) { k.deleting = false })
 	})
 }
 
+// mostDeletes is how many machines one request may return.
+const mostDeletes = 100
+
 // settleHires forgets rentals whose machines report, or are overdue.
 func (c *Core) settleHires() {
 	k := &c.cloud
@@ -237,6 +241,7 @@
 			for _, n := range d.Names.Machines {
 				h.names[n] = true
 			}
+			c.markBase(d.Names.Machines)
 			c.log.Info("hired", "request", h.req.Name, "type", h.req.Type, "zone", h.req.Zone, "spot", h.req.Spot, "machines", d.Names.Machines)
 			if len(d.Names.Machines) < h.req.Count {
 				k.cool[offerKey(h.req)] = c.now + 15*units.Second
@@ -255,110 +260,158 @@
 	return h.Type + "/" + h.Zone + "/" + strconv.FormatBool(h.Spot)
 }
 
-// coming is the room that is rented and not yet up.
-func (c *Core) coming() float64 {
-	sum := 0.0
+// coming is the room, in CPUs, of machines that are rented or listed and do not
+// report yet: ordinary ones and spot ones.
+func (c *Core) coming() (ordinary, spot float64) {
+	add := func(typ string, isSpot bool, n int) {
+		t := c.machineType(typ)
+		switch {
+		case t == nil:
+		case isSpot:
+			spot += t.CPUs * float64(n)
+		default:
+			ordinary += t.CPUs * float64(n)
+		}
+	}
 	for _, h := range c.cloud.hires {
-		if t := c.machineType(h.req.Type); t != nil {
-			n := h.req.Count
-			if h.granted {
-				n = len(h.names)
-			}
-			sum += t.CPUs * float64(n)
+		if n := h.req.Count; h.granted {
+			add(h.req.Type, h.req.Spot, len(h.names))
+		} else {
+			add(h.req.Type, h.req.Spot, n)
 		}
 	}
-	return sum
+	for name, l := range c.cloud.listed { // rented by a predecessor, or there from the start
+		if _, late := c.cloud.strayAt[name]; !late && l.State != provision.Failed && !c.rep.ever[name] && !c.hireHas(name) {
+			add(l.Type, l.Spot, 1)
+		}
+	}
+	return ordinary, spot
+}
+
+// demand is room that waiting tasks lack, in CPUs.
+type demand struct {
+	fixed float64 // of jobs that may not use spot machines
+	any   float64 // of the others
+}
+
+// unmet is what no free room and no coming machine can take.
+func (c *Core) unmet(short []shortfall) demand {
+	var d demand
+	for _, s := range short {
+		if cpus := float64(s.n) * s.j.spec.CPUs; s.j.spec.Spot && c.pol.Spot {
+			d.any += cpus
+		} else {
+			d.fixed += cpus
+		}
+	}
+	ordinary, spot := c.coming()
+	d.any -= spot
+	d.fixed -= ordinary
+	if d.fixed < 0 { // what is left of ordinary machines serves the others
+		d.any += d.fixed
+		d.fixed = 0
+	}
+	d.any = max(0, d.any)
+	return d
 }
 
-// hireMore rents for waiting tasks that no free room and no coming machine can
-// take.
-func (c *Core) hireMore() bool {
+// rent asks for machines for waiting tasks, in several requests a round when
+// much is wanted, each for the offer that is best then.
+func (c *Core) rent() {
 	k := &c.cloud
 	settle := units.FromSeconds(2*c.cfg.Settings.Cloud.ListLagS) + 2*units.Second
 	// A new keeper first learns what its predecessor rented.
 	if c.now-k.chargeAt < settle && k.chargeAt > 3*units.Second && len(c.rep.machines) > 0 {
-		return false
+		return
 	}
-	if c.rep.base == nil {
-		c.markBase()
-		return false
+	if k.listAt == 0 {
+		return // machines that are up and have not reported yet are seen in the list only
 	}
-	unmet := 0.0
 	short := c.shortfalls(true)
-	for _, s := range short {
-		unmet += float64(s.n) * s.j.spec.CPUs
-	}
-	for name, l := range k.listed { // rented by a predecessor and still coming up
-		if l.State == provision.Starting && c.rep.machines[name] == nil && !c.hireHas(name) {
-			if t := c.machineType(l.Type); t != nil {
-				unmet -= t.CPUs
-			}
+	want := c.unmet(short)
+	most := min(mostHired, max(c.pol.HireMost, len(c.rep.machines)/hirePart))
+	for calls := max(1, int(c.cfg.Settings.Cloud.RPS/2)); calls > 0 && len(k.hires) < mostHires; calls-- {
+		var h *provision.Hire
+		need := &want.fixed
+		if want.fixed > 0 {
+			h = c.bestOffer(short, false)
+		}
+		if h == nil && want.any > 0 {
+			need = &want.any
+			h = c.bestOffer(short, true)
+		}
+		if h == nil {
+			return
 		}
+		cpus := c.machineType(h.Type).CPUs
+		h.Count = min(int(math.Ceil(*need/cpus)), most)
+		k.hireN++
+		h.Name = "r-" + c.inc + "-" + strconv.Itoa(k.hireN)
+		c.log.Info("hire", "request", h.Name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "unmet_cpus", *need)
+		*need -= float64(h.Count) * cpus
+		k.hires[h.Name] = &hire{req: *h, at: c.now}
+		c.sendHire(k.hires[h.Name])
 	}
-	unmet -= c.coming()
-	if unmet <= 0 || len(k.hires) > 6 {
-		return false
-	}
+}
+
+const (
+	mostHired = 50 // machines that one request may ask for
+	hirePart  = 8  // a request asks for at most this part of the fleet, so that one price or one zone does not take all
+	mostHires = 40 // requests not yet answered, or whose machines are not yet up
+)
+
+// bestOffer is the cheapest room for the jobs that wait: for those that may use
+// spot machines, or for the others.
+func (c *Core) bestOffer(short []shortfall, spotJobs bool) *provision.Hire {
 	var pick *provision.Hire
 	bestCost := math.Inf(1)
-	for i := range k.types {
-		t := &k.types[i]
+	for i := range c.cloud.types {
+		t := &c.cloud.types[i]
 		for _, z := range t.Zones {
-			spotOK, fits := demandFor(short, t, z)
-			if !fits {
+			if !c.wantedIn(short, t, z, spotJobs) {
 				continue
 			}
 			for _, spot := range []bool{false, true} {
-				if spot && !(spotOK && c.pol.Spot) {
-					continue
-				}
 				h := provision.Hire{Type: t.Name, Zone: z, Spot: spot}
-				if c.now < k.cool[offerKey(h)] {
+				if spot && !spotJobs || c.now < c.cloud.cool[offerKey(h)] {
 					continue
 				}
-				price := t.Rate(spot)
+				cost := t.Rate(spot) / t.CPUs
 				if spot {
-					price *= 1.3 // it may be taken back
+					cost *= 1.3 // it may be taken back
 				}
-				n := math.Ceil(unmet / t.CPUs)
-				cost := price / t.CPUs
 				if cost < bestCost {
-					bestCost = cost
-					h.Count = min(int(n), c.pol.HireMost)
-					pick = &h
+					bestCost, pick = cost, &h
 				}
 			}
 		}
 	}
-	if pick == nil {
-		return false
-	}
-	k.hireN++
-	pick.Name = "r-" + c.inc + "-" + strconv.Itoa(k.hireN)
-	h := &hire{req: *pick, at: c.now}
-	k.hires[pick.Name] = h
-	c.log.Info("hire", "request", pick.Name, "type", pick.Type, "zone", pick.Zone, "spot", pick.Spot, "count", pick.Count, "unmet_cpus", unmet)
-	c.sendHire(h)
-	return true
+	return pick
 }
 
-// markBase notes, once and for all, which machines were there before anything
-// was rented: those are the operator's, and stay.
-func (c *Core) markBase() {
-	if c.now-c.cloud.chargeAt < units.Second || !c.every("base", 500*units.Millisecond) {
+// wantedIn reports whether a waiting job fits the type in the zone.
+func (c *Core) wantedIn(short []shortfall, t *provision.Type, zone string, spotJobs bool) bool {
+	return slices.ContainsFunc(short, func(s shortfall) bool {
+		spec := &s.j.spec
+		return (spec.Spot && c.pol.Spot) == spotJobs && intake.Fits(spec, t) && (spec.Zone == "" || spec.Zone == zone) &&
+			(!spec.Spread && !spec.OneZone || zoneAllowed(s.j, zone))
+	})
+}
+
+// markBase notes, once and for all, the first machine that was rented: those
+// before it are the operator's, and stay.
+func (c *Core) markBase(names []string) {
+	if c.rep.base != nil || len(names) == 0 {
 		return
 	}
-	doc := state.BaseDoc{Mark: c.mark()}
-	for name := range c.rep.machines {
-		doc.Newest = max(doc.Newest, name)
-	}
+	doc := state.BaseDoc{First: slices.Min(names), Mark: c.mark()}
 	txn := &state.Txn{Guards: []state.Guard{{Key: state.Base}}, Apply: []state.Op{{Set: state.Base, Value: encode(doc)}}}
 	c.commit(txn, doc.Mark, func(outcome, uint64, []string) {})
 }
 
 // rented reports whether the machine was rented by this service, and so may be
 // given back.
-func (c *Core) rented(name string) bool { return c.rep.base != nil && name > c.rep.base.Newest }
+func (c *Core) rented(name string) bool { return c.rep.base != nil && name >= c.rep.base.First }
 
 func (c *Core) hireHas(name string) bool {
 	for _, h := range c.cloud.hires {
@@ -369,23 +422,6 @@
 	return false
 }
 
-// demandFor reports whether a waiting job fits the type in the zone, and
-// whether one of those may use spot machines.
-func demandFor(short []shortfall, t *provision.Type, zone string) (spot, fits bool) {
-	for _, s := range short {
-		spec := &s.j.spec
-		if !intake.Fits(spec, t) || spec.Zone != "" && spec.Zone != zone {
-			continue
-		}
-		if (spec.Spread || spec.OneZone) && !zoneAllowed(s.j, zone) {
-			continue
-		}
-		fits = true
-		spot = spot || spec.Spot
-	}
-	return spot, fits
-}
-
 // returnAfter is how long a rented machine may have nothing to do before it is
 // given back: about as long as it would take to get another.
 func (c *Core) returnAfter(t *provision.Type) units.Micros {
@@ -402,7 +438,7 @@
 	draining := 0
 	for _, m := range c.sortedMachines() {
 		t := c.machineType(m.doc.Type)
-		if t == nil || m.doc.Part < 0 {
+		if t == nil || m.part() < 0 {
 			continue
 		}
 		u := 0.0
@@ -458,7 +494,7 @@
 			m.rt.idleAt = c.now
 			continue
 		}
-		o := c.owned[m.doc.Part]
+		o := c.owned[m.part()]
 		if c.now-m.rt.idleAt < c.returnAfter(t) && !m.rt.draining || o == nil || o.inflight || m.rt.out > 0 {
 			continue
 		}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -18,15 +18,29 @@
 	refused           // surely not carried out: try later
 )
 
-// refill gives this node its part of the permitted changes. Not all nodes are
-// busy at once, so each may take more than an equal part; the service's 429
-// corrects what is too much.
+// refill gives this node its part of the permitted changes: most of them to the
+// owners of teams' partitions, the rest to all for accepts and cancellations.
+// Not all are busy at once, so the parts add up to a little more than the whole;
+// the service's 429 corrects what is too much.
 func (c *Core) refill() {
-	rate := c.cfg.Settings.State.WriteRPS * 0.6
+	whole := c.cfg.Settings.State.WriteRPS
+	owners := map[string]bool{}
+	mine := false
+	for _, n := range c.teamParts {
+		if p := c.rep.parts[n]; p != nil {
+			owners[p.doc.Member] = true
+		}
+		mine = mine || c.owned[n] != nil
+	}
+	rate := 0.2 * whole
+	if mine {
+		rate = whole * min(0.9, 1/float64(len(owners)))
+	}
 	c.tokens += rate * (c.now - c.tokensAt).Seconds()
 	// A slow store must still let a job's end through, which is several changes
 	// in one: kept below that, no job would ever be over.
-	c.tokens = min(c.tokens, max(rate, min(c.cfg.Settings.State.WriteRPS, 8)))
+	c.tokensMost = max(rate, min(whole, 8))
+	c.tokens = min(c.tokens, c.tokensMost)
 	c.tokensAt = c.now
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,11 +1,12 @@
 package core
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
-	"sort"
 	"strconv"
+	"strings"
 
 	"frostdock.example/frostdock/internal/config"
 	"frostdock.example/frostdock/internal/peer"
@@ -46,23 +47,27 @@
 	writing  map[string]bool // keys in a batch that is not yet answered
 
 	// State service.
-	stateOK   units.Micros // when it last answered
-	stateBad  bool         // it refused or failed since
-	tokens    float64      // changes this node may still make
-	tokensAt  units.Micros
-	confirmQ  []confirm
-	confirmAt units.Micros
-	confirms  int
-	waitRev   []confirm
+	stateOK    units.Micros // when it last answered
+	stateBad   bool         // it refused or failed since
+	tokens     float64      // changes this node may still make
+	tokensAt   units.Micros
+	tokensMost float64 // that may be saved up
+	confirmQ   []confirm
+	confirmAt  units.Micros
+	confirms   int
+	waitRev    []confirm
 
 	// Users.
 	open      map[uint64]units.Micros // when each is given up
 	accepts   []accept
 	accepting bool
+	acceptRev uint64 // the replica must have come this far before the next accepts
 
 	// Others.
-	peers map[string]peerState
-	heard map[string]units.Micros
+	teamParts []int // partitions that have teams
+	peers     map[string]peerState
+	heard     map[string]units.Micros
+	entering  map[string]*entry // machines about to be entered
 
 	cloud  cloudState
 	lastAt map[string]units.Micros // when each periodic duty was last done
@@ -81,14 +86,24 @@
 // New returns a controller that knows nothing yet. inc must be unique among all
 // processes that ever run.
 func New(cfg *config.Config, pol *policy.Policy, log *slog.Logger, inc string) *Core {
-	return &Core{
+	c := &Core{
 		cfg: cfg, pol: pol, log: log.With("node", cfg.Member),
-		rep:        newReplica(),
 		stateCalls: map[uint64]func(state.Response){}, cloudCalls: map[uint64]func(CloudDone){}, cmdCalls: map[uint64]func(WorkerDone){},
 		incBase: inc, inc: inc, owned: map[int]*own{}, writing: map[string]bool{},
-		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{},
+		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*entry{},
 		cloud: newCloudState(), lastAt: map[string]units.Micros{},
 	}
+	for _, t := range cfg.Settings.Teams {
+		if p := c.partOf(t.Name); !slices.Contains(c.teamParts, p) {
+			c.teamParts = append(c.teamParts, p)
+		}
+	}
+	slices.Sort(c.teamParts)
+	if len(c.teamParts) == 0 {
+		c.teamParts = []int{0}
+	}
+	c.rep = newReplica(state.Spread(cfg.Settings.State.ValueKB), func(g int) int { return c.teamParts[g%len(c.teamParts)] })
+	return c
 }
 
 // Step takes what happened since the last step and returns what to do.
@@ -175,6 +190,7 @@
 		c.claims()
 		c.watchMachines()
 	}
+	c.entered()
 	if c.every("beat", units.Second) {
 		c.beat()
 	}
@@ -225,7 +241,7 @@
 func (c *Core) beat() {
 	b := peer.Beat{Member: c.cfg.Member, Inc: c.inc, StateOK: c.stateFine(), Heard: map[string]int64{}, Open: map[string][]string{}}
 	for name, m := range c.rep.machines {
-		if m.rt != nil && c.usable(m.doc.Part) && c.takesWork(m) {
+		if m.rt != nil && c.usable(m.part()) && c.takesWork(m) {
 			b.Open[name] = slices.Sorted(maps.Keys(m.rt.images))
 		}
 	}
@@ -306,27 +322,29 @@
 	return nil
 }
 
-// sortedMachines walks machines in the order of their names: map order would
-// make runs differ.
+// sortedMachines lists the machines in the order of their names: map order
+// would make runs differ.
 func (c *Core) sortedMachines() []*machine {
-	ms := make([]*machine, 0, len(c.rep.machines))
-	for _, m := range c.rep.machines {
-		ms = append(ms, m)
+	r := c.rep
+	if r.byName == nil {
+		r.byName = slices.SortedFunc(maps.Values(r.machines), func(a, b *machine) int { return strings.Compare(a.name, b.name) })
 	}
-	sort.Slice(ms, func(a, b int) bool { return ms[a].name < ms[b].name })
-	return ms
+	return r.byName
 }
 
+// sortedJobs lists the accepted jobs that are not over, the oldest first.
 func (c *Core) sortedJobs() []*job {
-	js := make([]*job, 0, len(c.rep.jobs))
-	for _, j := range c.rep.jobs {
-		js = append(js, j)
-	}
-	sort.Slice(js, func(a, b int) bool {
-		if js[a].spec.At != js[b].spec.At {
-			return js[a].spec.At < js[b].spec.At
+	r := c.rep
+	if r.byAge == nil {
+		r.byAge = make([]*job, 0, len(r.jobs))
+		for _, j := range r.jobs {
+			if j.known {
+				r.byAge = append(r.byAge, j)
+			}
 		}
-		return js[a].id < js[b].id
-	})
-	return js
+		slices.SortFunc(r.byAge, func(a, b *job) int {
+			return cmp.Or(cmp.Compare(a.spec.At, b.spec.At), strings.Compare(a.id, b.id))
+		})
+	}
+	return r.byAge
 }
--- /dev/null
+++ b/internal/core/demand.go
@@ -0,0 +1,146 @@
+package core
+
+import (
+	"strconv"
+
+	"frostdock.example/frostdock/internal/units"
+)
+
+// shortfall is a job with the tasks that find no room in its partition.
+type shortfall struct {
+	j *job
+	n int
+}
+
+// shortfalls fits the waiting tasks of every partition into the free room of
+// its machines, as far as can be told from what is stored, and returns what is
+// left over. Jobs of higher grade go first. With anywhere, the machines of all
+// partitions count for every job, as they do for what must be rented.
+func (c *Core) shortfalls(anywhere bool) []shortfall {
+	type hole struct {
+		m *machine
+		gap
+	}
+	gaps := map[int][]*hole{} // with something free
+	for _, m := range c.sortedMachines() {
+		t := c.machineType(m.doc.Type)
+		if t == nil || m.part() < 0 || m.rt != nil && (m.rt.noticed || m.rt.sick || m.rt.retire != "") {
+			continue
+		}
+		g := &hole{m, gap{t.CPUs, t.GPUs, t.MemGB}}
+		for _, task := range m.doc.Tasks {
+			if j := c.unstored(task); j != nil {
+				g.fill(&j.spec, 1)
+			}
+		}
+		if g.cpus <= 0 {
+			continue
+		}
+		p := m.part()
+		if anywhere {
+			p = 0
+		}
+		gaps[p] = append(gaps[p], g)
+	}
+	var out []shortfall
+	using := c.teamUsage()
+	jobs := c.sortedJobs()
+	for grade := 3; grade >= 0; grade-- {
+		for _, j := range jobs {
+			if j.cancelled || j.spec.Grade != grade || c.now < j.retryAt {
+				continue
+			}
+			n := j.waiting()
+			if n == 0 {
+				continue
+			}
+			n = min(n, c.quotaRoom(j, using))
+			p := j.part
+			if anywhere {
+				p = 0
+			}
+			for _, g := range gaps[p] {
+				if n == 0 {
+					break
+				}
+				if !c.allowed(j, g.m) {
+					continue
+				}
+				k := int(min(g.cpus/j.spec.CPUs, float64(n)) + 1e-9)
+				if j.spec.GPUs > 0 {
+					k = min(k, int(g.gpus/j.spec.GPUs+1e-9))
+				}
+				if j.spec.MemGB > 0 {
+					k = min(k, int(g.mem/j.spec.MemGB+1e-9))
+				}
+				if k <= 0 {
+					continue
+				}
+				g.fill(&j.spec, float64(k))
+				n -= k
+			}
+			if n > 0 {
+				out = append(out, shortfall{j, n})
+			}
+		}
+	}
+	return out
+}
+
+// quotaRoom is how many more tasks of j its team's limit allows at once.
+func (c *Core) quotaRoom(j *job, using map[string]*usage) int {
+	t := c.team(j.spec.Team)
+	if t == nil || t.CPUsMax <= 0 {
+		return j.spec.Tasks
+	}
+	used := 0.0
+	if u := using[j.spec.Team]; u != nil {
+		used = u.cpus
+	}
+	return max(0, int((t.CPUsMax-used)/j.spec.CPUs+1e-9))
+}
+
+// passOn hands idle groups to the partitions that lack room.
+func (c *Core) passOn(b *batch) {
+	if !c.every("pass"+strconv.Itoa(b.o.n), 500*units.Millisecond) {
+		return
+	}
+	short := c.shortfalls(false)
+	lack := map[int]float64{}
+	for _, s := range short {
+		lack[s.j.part] += float64(s.n) * s.j.spec.CPUs
+	}
+	if lack[b.o.n] > 0 {
+		return
+	}
+	to := -1
+	for _, n := range c.teamParts {
+		if lack[n] > 0 && (to < 0 || lack[n] > lack[to]) {
+			to = n
+		}
+	}
+	if to < 0 {
+		return
+	}
+	for _, gd := range b.groups {
+		if !gd.own || gd.changed || !b.room(gd) || lack[to] <= 0 || !c.idle(gd) {
+			continue
+		}
+		gd.moveTo = to
+		b.touch(gd)
+		for _, d := range gd.drafts {
+			lack[to] -= d.cpus
+		}
+		c.log.Info("pass group on", "group", gd.g.n, "machines", len(gd.drafts), "from", b.o.n, "to", to)
+	}
+}
+
+// idle reports whether a group has machines, and all of them have nothing to do.
+func (c *Core) idle(gd *groupDraft) bool {
+	for _, d := range gd.drafts {
+		if !d.usable || d.live > 0 || len(d.keep) > 0 || !c.settled(d.m) {
+			return false
+		}
+	}
+	return len(gd.drafts) > 0
+}
--- /dev/null
+++ b/internal/core/finish.go
@@ -0,0 +1,204 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// flushEvery is how long a job's progress may wait for others while changes are
+// scarce. Nothing is reaped before its end is stored, so nothing is lost.
+const flushEvery = 4 * units.Second
+
+// finishJobs stores ends and progress of the partition's jobs, and clears away
+// the cancelled ones.
+func (c *Core) finishJobs(b *batch, jobs []*job) {
+	for _, j := range jobs {
+		switch {
+		case c.writing[state.Finals+j.id]:
+		case j.cancelled && len(j.bound) == 0 && b.canClear(j):
+			b.clear(j)
+			key := state.Cancels + j.id
+			b.op(state.Op{Delete: key}, c.rep.stamps[key])
+		case !j.cancelled && j.doneCount() == j.spec.Tasks && b.canClear(j):
+			f := state.Final{Stage: Done, Done: j.spec.Tasks, Mark: b.mark}
+			// Whoever writes the end first decides between done and cancelled.
+			b.op(state.Op{Set: state.Finals + j.id, Value: encode(f)}, 0)
+			b.clear(j)
+		}
+	}
+	every := flushEvery
+	if c.tokens > c.tokensMost/2 {
+		every = 0
+	}
+	most := b.ops / 2 // the rest is for what waits to start
+	for _, j := range jobs {
+		if len(j.extra) == 0 || j.cancelled || j.doneCount() == j.spec.Tasks || !b.packs.edited(j) && c.now-j.flushAt < every {
+			continue
+		}
+		before := b.ops
+		if !b.packs.edited(j) && most < 1 {
+			continue
+		}
+		b.flush(j)
+		most -= before - b.ops
+	}
+}
+
+// flush stores a job's progress.
+func (b *batch) flush(j *job) {
+	set := j.done
+	for n := range j.extra {
+		set = set.With(n)
+	}
+	avg, of := j.average()
+	if !b.packs.put(j, state.Done{Ranges: set.String(), AvgS: avg.Seconds(), Of: of}) {
+		return
+	}
+	j.flushAt = b.c.now
+	b.saved = append(b.saved, savedRuns{j, j.runSum, j.runCount})
+}
+
+func (b *batch) op(op state.Op, stamp uint64) {
+	b.finals = append(b.finals, op)
+	b.guards = append(b.guards, state.Guard{Key: op.Set + op.Delete, Stamp: stamp})
+	b.ops--
+	b.size -= len(op.Value) + 100
+}
+
+// canClear reports whether what clears a job away fits into the batch.
+func (b *batch) canClear(j *job) bool {
+	s := b.c.rep.shelfOf(j.id)
+	need, bytes := 1, 300
+	if b.cleared[s] == nil {
+		need++
+		bytes += s.size
+	}
+	if j.pack != nil && !b.packs.edited(j) {
+		need++
+		bytes += j.pack.size
+	}
+	return b.ops >= need && b.size >= bytes && !b.c.writing[s.key] && (j.pack == nil || !b.c.writing[j.pack.key])
+}
+
+// clear removes a job that is over from its shelf and its progress.
+func (b *batch) clear(j *job) {
+	s := b.c.rep.shelfOf(j.id)
+	if b.cleared[s] == nil {
+		b.cleared[s] = map[string]bool{}
+		b.ops--
+		b.size -= s.size
+	}
+	b.cleared[s][j.id] = true
+	if j.pack != nil {
+		delete(b.packs.edit(j.pack.key), j.id)
+	}
+}
+
+// packing changes the documents that hold the progress of a partition's jobs.
+// Only the partition's owner writes them, so a job may stand in any of them.
+type packing struct {
+	b     *batch
+	edits map[string]map[string]state.Done
+	sizes map[string]int
+}
+
+func newPacking(b *batch) *packing {
+	return &packing{b: b, edits: map[string]map[string]state.Done{}, sizes: map[string]int{}}
+}
+
+// edited reports whether the document of the job's progress is written anyway.
+func (p *packing) edited(j *job) bool { return j.pack != nil && p.edits[j.pack.key] != nil }
+
+// edit gives the contents of a document to be changed.
+func (p *packing) edit(key string) map[string]state.Done {
+	if e := p.edits[key]; e != nil {
+		return e
+	}
+	e := map[string]state.Done{}
+	if old := p.b.c.rep.packs[key]; old != nil {
+		maps.Copy(e, old.jobs)
+		p.sizes[key] = old.size
+	}
+	p.edits[key] = e
+	p.b.ops--
+	p.b.size -= p.sizes[key] + headBytes
+	return e
+}
+
+// put enters a job's progress, in another document than before if that one is
+// full. It reports whether the batch had room for it.
+func (p *packing) put(j *job, d state.Done) bool {
+	b := p.b
+	cost := len(d.Ranges) + len(j.id) + 60
+	if j.pack != nil {
+		old := j.pack.key
+		if b.c.writing[old] || p.edits[old] == nil && (b.ops < 1 || b.size < j.pack.size+headBytes+cost) {
+			return false
+		}
+		grown := cost - len(j.pack.jobs[j.id].Ranges)
+		size := j.pack.size
+		if p.edits[old] != nil {
+			size = p.sizes[old]
+		}
+		if size+grown < b.c.valueMax() {
+			p.edit(old)[j.id] = d
+			p.sizes[old] += grown
+			b.size -= grown
+			return true
+		}
+		if b.ops < 2 && p.edits[old] == nil {
+			return false
+		}
+	}
+	key := p.roomy(cost)
+	if key == "" || p.edits[key] == nil && b.ops < 1 || b.size < cost+headBytes {
+		return false
+	}
+	if j.pack != nil {
+		if p.edits[j.pack.key] == nil && b.ops < 2 {
+			return false
+		}
+		delete(p.edit(j.pack.key), j.id)
+	}
+	p.edit(key)[j.id] = d
+	p.sizes[key] += cost
+	b.size -= cost
+	return true
+}
+
+// roomy finds a document with room for so many bytes: one that is written
+// anyway, or else the first with room, or else a new one.
+func (p *packing) roomy(cost int) string {
+	most := p.b.c.valueMax()
+	for _, key := range slices.Sorted(maps.Keys(p.edits)) {
+		if p.sizes[key]+cost < most {
+			return key
+		}
+	}
+	for n := 0; ; n++ {
+		key := state.ProgressKey(p.b.o.n, n)
+		if p.b.c.writing[key] || p.edits[key] != nil {
+			continue
+		}
+		old := p.b.c.rep.packs[key]
+		if old == nil {
+			if cost+headBytes > most {
+				return "" // no value is large enough for it
+			}
+			return key
+		}
+		// Those that stand there already grow as well.
+		if old.size+cost < most*2/3 {
+			return key
+		}
+	}
+}
+
+func (p *packing) changedKeys() []string { return slices.Sorted(maps.Keys(p.edits)) }
+
+func (p *packing) doc(key string) *state.Pack {
+	return &state.Pack{Jobs: p.edits[key], Mark: p.b.mark}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,10 +15,20 @@
 // machine is one machine: its stored document, and rt, what its owner has
 // learnt of it since it became the owner.
 type machine struct {
-	name  string
-	stamp uint64
-	doc   state.Machine
-	rt    *runtime
+	name string
+	g    *group
+	doc  state.Machine
+	rt   *runtime
+	gone bool // the cloud has confirmed its deletion: the entry may go
+}
+
+// part is the partition that commands the machine; -1 when it is retired:
+// nobody answers for it any more.
+func (m *machine) part() int {
+	if m.doc.Retired {
+		return -1
+	}
+	return m.g.part
 }
 
 type taskKey struct {
@@ -50,7 +61,10 @@
 	images   map[string]units.Micros
 	noticed  bool
 	noticeAt units.Micros
+	ended    map[taskKey]int         // tasks seen to complete: 1 plus the tenths of a second that each ran
 	errors   map[string]units.Micros // jobs with a task that failed here
+	toldTok  uint64                  // token of the latest answer
+	unheard  int                     // reports in a row that show that answers do not arrive
 	probing  bool
 	probeAt  units.Micros
 	probeBad units.Micros // when a probe last failed
@@ -58,6 +72,7 @@
 	idleAt   units.Micros
 	leaving  map[taskKey]bool // entries that a write under way takes off the document
 	draining bool             // takes no new work, so that it can be given back
+	retire   string           // why it is to be given back; empty: it is not
 }
 
 type runMark struct {
@@ -77,7 +92,7 @@
 		owner: o, since: c.now, idleAt: c.now,
 		leaseEnd: c.now + c.cfg.Settings.AnswerBound() + l + leaseMargin(l),
 		pieces:   map[taskKey]workers.Piece{}, runs: map[taskKey]runMark{},
-		images: map[string]units.Micros{}, errors: map[string]units.Micros{},
+		images: map[string]units.Micros{}, errors: map[string]units.Micros{}, ended: map[taskKey]int{},
 	}
 	c.inspect(m)
 }
@@ -85,11 +100,11 @@
 // token strictly grows with every handover of the machine and every take-over
 // of its partition.
 func (c *Core) token(m *machine) uint64 {
-	p := c.rep.parts[m.doc.Part]
+	p := c.rep.parts[m.g.part]
 	if p == nil {
 		return 0
 	}
-	return m.doc.Handover<<31 | p.doc.Epoch
+	return (m.g.handover+m.doc.Handover)<<31 | p.doc.Epoch
 }
 
 // settled reports whether no command that could still surprise is under way:
@@ -103,27 +118,22 @@
 // report answers a worker.
 func (c *Core) report(q ReportReq) {
 	r := &q.Report
-	c.heard[r.Machine] = c.now
 	if !c.rep.synced || r.Machine == "" {
 		c.reply(q.To, 503, nil)
 		return
 	}
 	m := c.rep.machines[r.Machine]
 	if m == nil {
-		c.adopt(q)
+		c.newcomer(q)
 		return
 	}
-	if m.doc.Part < 0 { // to be returned: nobody answers for it any more
+	if m.doc.Retired { // nobody answers for it any more
 		c.reply(q.To, 421, workers.Redirect{})
 		return
 	}
-	if c.owned[m.doc.Part] == nil {
-		p := c.rep.parts[m.doc.Part]
-		to := ""
-		if p != nil && c.ownerAlive(p) && p.doc.Member != c.cfg.Member {
-			to = p.doc.Member
-		}
-		c.reply(q.To, 421, workers.Redirect{To: to})
+	if c.owned[m.g.part] == nil {
+		c.heard[r.Machine] = c.now
+		c.reply(q.To, 421, workers.Redirect{To: c.ownerOf(m.g.part)})
 		return
 	}
 	tok := c.token(m)
@@ -133,39 +143,112 @@
 		c.reply(q.To, 421, workers.Redirect{})
 		return
 	}
-	if !c.usable(m.doc.Part) {
+	if !c.usable(m.g.part) {
 		c.reply(q.To, 503, nil)
 		return
 	}
+	if r.Newer(m.rt.session, m.rt.seq) { // a late copy is no sign of life
+		c.heard[r.Machine] = c.now
+		c.listens(m, r, tok)
+	}
 	c.observe(m, r)
 	l := c.cfg.Settings.Lease()
 	m.rt.leaseEnd = max(m.rt.leaseEnd, c.now+l+leaseMargin(l))
 	c.reply(q.To, 200, workers.Answer{Token: tok, Orders: c.orders(m)})
 }
 
-// adopt enters a machine that nobody knows: one that was there at the start,
-// or came of a rental whose answer was lost or late.
-func (c *Core) adopt(q ReportReq) {
+// deafAfter is how many reports in a row may show that the answers before them
+// were lost. Fewer may be the luck of a bad network.
+const deafAfter = 3
+
+// listens notices a machine whose reports arrive while nothing reaches it: it
+// looks alive, but its lease runs out and takes its tasks with it, and what it
+// is told to stop goes on until then.
+func (c *Core) listens(m *machine, r *workers.Report, tok uint64) {
+	rt := m.rt
+	switch {
+	case rt.session > 0 && r.Session > rt.session && c.now-rt.heardAt < c.cfg.Settings.Lease():
+		rt.unheard = deafAfter // its lease ran out though each of its reports was answered
+	case r.Token >= tok:
+		rt.unheard = 0
+	case rt.toldTok == tok:
+		rt.unheard++ // an earlier answer had this token, and it has not seen it
+	}
+	rt.toldTok = tok
+}
+
+// ownerOf names the member that owns a partition, if it lives and is another.
+func (c *Core) ownerOf(part int) string {
+	if p := c.rep.parts[part]; p != nil && c.ownerAlive(p) && p.doc.Member != c.cfg.Member {
+		return p.doc.Member
+	}
+	return ""
+}
+
+// newcomer is a machine that nobody knows: one that was there at the start, or
+// came of a rental whose answer was lost or late. The owner of its group's
+// partition enters it. First the machine itself must answer: a report may be a
+// late copy from a machine that is long gone, and must not bring it back.
+func (c *Core) newcomer(q ReportReq) {
 	r := &q.Report
-	if !c.alive || c.stateBad || c.tokens < 1 {
+	c.heard[r.Machine] = c.now
+	g := c.rep.groupOf(r.Machine)
+	if c.owned[g.part] == nil {
+		c.reply(q.To, 421, workers.Redirect{To: c.ownerOf(g.part)})
+		return
+	}
+	if !c.usable(g.part) || c.stateBad {
 		c.reply(q.To, 503, nil)
 		return
 	}
-	doc := state.Machine{Part: c.neediest(), Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Mark: c.mark()}
-	// A machine that had an entry before may have seen higher tokens.
-	doc.Handover = r.Token>>31 + 1
-	key := state.Machines + r.Machine
-	txn := &state.Txn{Guards: []state.Guard{{Key: key}}, Apply: []state.Op{{Set: key, Value: encode(doc)}}}
-	c.commit(txn, doc.Mark, func(res outcome, _ uint64, _ []string) {
-		if res == committed {
-			c.log.Info("machine entered", "machine", r.Machine, "type", r.Type, "partition", doc.Part)
-			if m := c.rep.machines[r.Machine]; m != nil {
-				c.report(q)
-				return
-			}
+	if e := c.entering[r.Machine]; e != nil { // it came back: the earlier request is no longer waited for
+		c.reply(e.q.To, 503, nil)
+		e.q = q
+		return
+	}
+	e := &entry{q: q, at: c.now}
+	c.entering[r.Machine] = e
+	id := c.id()
+	c.cmdCalls[id] = func(d WorkerDone) {
+		if c.entering[r.Machine] != e {
+			return
 		}
-		c.reply(q.To, 503, nil)
-	})
+		if d.Report == nil || d.Report.Machine != r.Machine {
+			delete(c.entering, r.Machine)
+			c.reply(e.q.To, 503, nil)
+			return
+		}
+		e.answered = true
+		e.token = max(d.Report.Token, r.Token)
+		c.dirty = true
+	}
+	c.out = append(c.out, WorkerCall{ID: id, Addr: r.Addr})
+}
+
+// entry is a machine that is about to be entered.
+type entry struct {
+	q        ReportReq
+	at       units.Micros
+	answered bool
+	token    uint64 // the highest that it has seen
+}
+
+// entryWait is how long a newcomer's report may wait for its entry.
+const entryWait = 3500 * units.Millisecond
+
+// entered answers newcomers whose entry is stored, and those that wait too long.
+func (c *Core) entered() {
+	for _, name := range slices.Sorted(maps.Keys(c.entering)) {
+		e := c.entering[name]
+		switch {
+		case c.rep.machines[name] != nil:
+			delete(c.entering, name)
+			c.report(e.q)
+		case c.now-e.at > entryWait:
+			delete(c.entering, name)
+			c.reply(e.q.To, 503, nil)
+		}
+	}
 }
 
 // observe takes a report if it is newer than what is known.
@@ -233,20 +316,20 @@
 	}
 	switch p.Cause {
 	case workers.CauseDone:
-		if j.isDone(k.num) {
+		if j.done.Has(k.num) {
 			return
 		}
-		if j.extra == nil {
-			j.extra = map[int]bool{}
-		}
-		j.extra[k.num] = true
 		j.failures = 0
 		// Only a task seen from start to end tells its length; and only tasks
 		// that completed: failed ones end in seconds and would make the job
 		// look tiny.
+		ran := units.Micros(0)
 		if run, ok := m.rt.runs[k]; ok && run.exact {
-			j.runSum += c.now - run.at
-			j.runCount++
+			ran = c.now - run.at
+		}
+		m.rt.ended[k] = 1 + int(ran/(100*units.Millisecond))
+		if !j.isDone(k.num) {
+			c.completed(j, k.num, ran)
 		}
 	case workers.CauseError:
 		c.failed(j)
@@ -397,7 +480,7 @@
 // poke sends a machine its orders at once, instead of with the next report.
 func (c *Core) poke(m *machine) {
 	rt := m.rt
-	if rt == nil || rt.out > 0 || rt.unclear || !c.usable(m.doc.Part) {
+	if rt == nil || rt.out > 0 || rt.unclear || !c.usable(m.part()) {
 		return
 	}
 	if rt.session == 0 {
@@ -465,12 +548,16 @@
 	}
 	report := c.cfg.Settings.Report()
 	total, hearing := 0, 0
-	var silent, taken []*machine
+	var silent, taken, deaf []*machine
 	for _, m := range c.sortedMachines() {
-		if m.rt == nil || !c.usable(m.doc.Part) {
+		if m.rt == nil || !c.usable(m.part()) {
 			continue
 		}
 		total++
+		if m.rt.unheard >= deafAfter {
+			deaf = append(deaf, m)
+			continue
+		}
 		last := max(m.rt.heardAt, m.rt.since-report) // a new owner asks at once, and need not wait as long
 		if c.now-last < report*3/2 {
 			hearing++
@@ -504,7 +591,7 @@
 	}
 	// This node's own silence is no evidence. Most machines must be heard here,
 	// and every living controller must say that it does not hear the machine.
-	if len(silent) == 0 || hearing*2 < total || !c.every("retire", units.Second) {
+	if len(silent)+len(deaf) == 0 || hearing*2 < total || !c.every("retire", units.Second) {
 		return
 	}
 	var gone []*machine
@@ -514,6 +601,7 @@
 		}
 	}
 	c.retire("silent", gone...)
+	c.retire("nothing reaches it", deaf...)
 }
 
 // handOverDeaf gives a partition none of whose machines are heard here to a
@@ -534,7 +622,7 @@
 			}
 			mine, there := 0, 0
 			for _, m := range c.rep.machines {
-				if m.doc.Part != p {
+				if m.part() != p {
 					continue
 				}
 				mine++
@@ -555,7 +643,7 @@
 func (c *Core) noticed() []*machine {
 	var out []*machine
 	for _, m := range c.sortedMachines() {
-		if m.rt != nil && m.rt.noticed && c.now > m.rt.noticeAt && c.usable(m.doc.Part) {
+		if m.rt != nil && m.rt.noticed && c.now > m.rt.noticeAt && c.usable(m.part()) {
 			out = append(out, m)
 		}
 	}
@@ -581,30 +669,15 @@
 	return false
 }
 
-// retire marks machines to be returned to the cloud. Their tasks stay bound
-// until the cloud has confirmed that they are gone.
+// retire marks machines to be returned to the cloud; the next write of their
+// group says so. Their tasks stay bound until the cloud has confirmed that they
+// are gone.
 func (c *Core) retire(why string, ms ...*machine) {
-	for _, p := range c.ownedParts() {
-		o := c.owned[p]
-		if o.inflight || !c.usable(p) {
-			continue
-		}
-		txn := &state.Txn{Guards: []state.Guard{{Key: state.PartKey(p), Stamp: o.stamp}}}
-		mark := c.mark()
-		for _, m := range ms {
-			key := state.Machines + m.name
-			if m.doc.Part != p || c.writing[key] || len(txn.Apply) >= min(c.cfg.Settings.State.TxnOps, int(c.tokens)) {
-				continue
-			}
-			doc := m.doc
-			doc.Part, doc.Handover, doc.Mark = -1, doc.Handover+1, mark
-			txn.Guards = append(txn.Guards, state.Guard{Key: key, Stamp: m.stamp})
-			txn.Apply = append(txn.Apply, state.Op{Set: key, Value: encode(doc)})
-			c.log.Info("machine retired", "machine", m.name, "why", why, "tasks", c.unfinished(m), "partition", p)
-		}
-		if len(txn.Apply) > 0 {
-			o.inflight = true
-			c.commit(txn, mark, func(outcome, uint64, []string) { o.inflight = false; c.dirty = true })
+	for _, m := range ms {
+		if m.rt != nil && m.rt.retire == "" {
+			m.rt.retire = why
+			c.dirty = true
+			c.log.Info("retire a machine", "machine", m.name, "why", why, "tasks", c.unfinished(m), "partition", m.g.part)
 		}
 	}
 }
@@ -636,28 +709,3 @@
 	}
 	return n
 }
-
-// neediest is the partition with the least machines for its work.
-func (c *Core) neediest() int {
-	best, bestRatio := 0, 0.0
-	have := map[int]float64{}
-	for _, m := range c.rep.machines {
-		if t := c.machineType(m.doc.Type); t != nil && m.doc.Part >= 0 {
-			have[m.doc.Part] += t.CPUs
-		}
-	}
-	need := map[int]float64{}
-	for _, j := range c.rep.jobs {
-		if j.known && !j.cancelled {
-			need[j.part] += float64(j.spec.Tasks-j.done.Len()) * j.spec.CPUs
-		}
-	}
-	for i := range c.cfg.Settings.Teams {
-		p := i % c.cfg.Settings.Size
-		ratio := (need[p] + 8) / (have[p] + 1)
-		if i == 0 || ratio > bestRatio {
-			best, bestRatio = p, ratio
-		}
-	}
-	return best
-}
--- /dev/null
+++ b/internal/core/plan.go
@@ -0,0 +1,210 @@
+package core
+
+import (
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// batch gathers the changes of one partition into one transaction.
+type batch struct {
+	c       *Core
+	o       *own
+	mark    string
+	groups  []*groupDraft
+	drafts  []*draft // of all groups, those that can take tasks now
+	ops     int      // operations that are still free
+	size    int      // bytes that are still free
+	finals  []state.Op
+	guards  []state.Guard
+	cleared map[*shelf]map[string]bool // jobs that leave their shelves
+	packs   *packing
+	using   map[string]*usage
+	saved   []savedRuns
+	busy    map[int]bool     // partitions with waiting tasks of their own
+	failed  map[holeKey]bool // what found no room in this batch, even by preemption
+	picked  bool             // arrays go to some groups only
+	attempt uint64           // of what is placed in this batch; 0: nothing yet
+}
+
+// savedRuns are task lengths that a commit makes part of the stored average.
+type savedRuns struct {
+	j     *job
+	sum   units.Micros
+	count int
+}
+
+type usage struct{ cpus, gpus float64 }
+
+const (
+	taskBytes  = 26 // an upper estimate of one task in a document
+	headBytes  = 200
+	txnBytes   = 56 << 10
+	restFor    = 35 * units.Second // a service that started stays at least so long
+	lastMoment = 3 * units.Second  // for a stop to be stored and carried out before a machine is taken
+	keepTokens = 4                 // changes kept back for accepts, cancels and services
+	maxHoles   = 200
+	minAverage = units.Second
+	firstGuess = 30 * units.Second // average task time while no job has shown any
+	planCost   = 60                // a plan is made at most once in so many microseconds for each machine and job
+)
+
+// plan decides for one partition and writes what it decided; only when that is
+// stored are the machines told.
+func (c *Core) plan(p int) {
+	o := c.owned[p]
+	if o == nil || o.inflight || !c.usable(p) || c.stateBad || c.now < o.pauseTo || c.rep.watchRev < o.needRev || c.tokens < 2 || len(c.cloud.types) == 0 {
+		return
+	}
+	// A plan looks at everything, so the larger the fleet, the rarer it is.
+	if c.now < o.planAt {
+		c.dirty = true
+		return
+	}
+	o.planAt = c.now + planCost*units.Micros(len(c.rep.machines)+len(c.rep.jobs))
+	b := &batch{
+		c: c, o: o, mark: c.mark(), using: c.teamUsage(), size: txnBytes,
+		busy: map[int]bool{}, cleared: map[*shelf]map[string]bool{}, failed: map[holeKey]bool{},
+	}
+	b.packs = newPacking(b)
+	b.ops = min(c.cfg.Settings.State.TxnOps, int(c.tokens)-1) // one is kept back for accepts
+	for _, j := range c.sortedJobs() {
+		if !j.cancelled && j.part != p && !b.busy[j.part] && c.now >= j.retryAt && j.waiting() > 0 {
+			b.busy[j.part] = true
+		}
+	}
+	b.open()
+	jobs := c.partJobs(p)
+	c.placeServices(b, jobs)
+	b.retirements()
+	c.finishJobs(b, jobs)
+	c.evacuate(b)
+	b.releases()
+	if c.tokens > keepTokens {
+		b.ops = min(b.ops, int(c.tokens)-keepTokens)
+		c.placeArrays(b, jobs)
+		c.passOn(b)
+		c.moveServices(b)
+	}
+	b.write()
+}
+
+func (c *Core) partJobs(p int) []*job {
+	var out []*job
+	for _, j := range c.sortedJobs() {
+		if j.part == p {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// teamUsage is what each team's tasks take: whatever may be running, returned
+// machines, doubt and writes under way included.
+func (c *Core) teamUsage() map[string]*usage {
+	using := map[string]*usage{}
+	for _, j := range c.rep.jobs {
+		for n := range j.bound {
+			if j.known && !j.isDone(n) {
+				addUse(using, &j.spec)
+			}
+		}
+	}
+	return using
+}
+
+func addUse(using map[string]*usage, s *state.Job) {
+	u := using[s.Team]
+	if u == nil {
+		u = &usage{}
+		using[s.Team] = u
+	}
+	u.cpus += s.CPUs
+	u.gpus += s.GPUs
+}
+
+// underLimit keeps the team's limit, counting everything that may be running.
+func (b *batch) underLimit(j *job) bool {
+	t := b.c.team(j.spec.Team)
+	if t == nil {
+		return false
+	}
+	u := b.using[j.spec.Team]
+	if u == nil {
+		u = &usage{}
+	}
+	return (t.CPUsMax <= 0 || u.cpus+j.spec.CPUs <= t.CPUsMax+1e-9) && (t.GPUsMax <= 0 || u.gpus+j.spec.GPUs <= t.GPUsMax+1e-9)
+}
+
+// within reports whether a team stays inside its guarantee with so much more.
+func (b *batch) within(team string, cpus, gpus float64) bool {
+	t := b.c.team(team)
+	u := b.using[team]
+	if u == nil {
+		u = &usage{}
+	}
+	return t != nil && u.cpus+cpus <= t.CPUs+1e-9 && u.gpus+gpus <= t.GPUs+1e-9
+}
+
+// write commits the batch, and tells the machines once it is stored.
+func (b *batch) write() {
+	c, o := b.c, b.o
+	txn := &state.Txn{Guards: append([]state.Guard{{Key: state.PartKey(o.n), Stamp: o.stamp}}, b.guards...), Apply: b.finals}
+	set := func(key string, doc any) {
+		txn.Guards = append(txn.Guards, state.Guard{Key: key, Stamp: c.rep.stamps[key]})
+		txn.Apply = append(txn.Apply, state.Op{Set: key, Value: encode(doc)})
+	}
+	for _, s := range c.rep.shelves {
+		if less := b.cleared[s]; less != nil {
+			doc := c.shelfDoc(s, less)
+			doc.Mark = b.mark
+			set(s.key, doc)
+		}
+	}
+	for _, key := range b.packs.changedKeys() {
+		set(key, b.packs.doc(key))
+	}
+	var changed []*groupDraft
+	for _, gd := range b.groups {
+		if !gd.changed {
+			continue
+		}
+		doc := gd.doc()
+		if v := encode(doc); len(v) > c.valueMax() && gd.adds() {
+			// The estimate was too low: leave out what was to be added.
+			c.log.Error("a group outgrew its document", "group", gd.g.n, "bytes", len(v))
+			gd.takeBack()
+			doc = gd.doc()
+		}
+		set(gd.g.key, doc)
+		gd.leaving(true)
+		changed = append(changed, gd)
+	}
+	if len(txn.Apply) == 0 {
+		return
+	}
+	o.inflight = true
+	c.writeKeys(txn, true)
+	c.commit(txn, b.mark, func(res outcome, rev uint64, failed []string) {
+		c.writeKeys(txn, false)
+		for _, gd := range changed {
+			gd.leaving(false)
+		}
+		o.inflight = false
+		c.dirty = true
+		if res != committed {
+			for _, gd := range changed {
+				gd.takeBack()
+			}
+			o.pauseTo = c.now + 100*units.Millisecond
+			if res == conflict {
+				o.needRev = rev // the replica must first show what failed it
+				c.log.Info("batch conflicts", "partition", o.n, "failed", failed)
+			}
+			return
+		}
+		for _, r := range b.saved {
+			r.j.runSum -= r.sum
+			r.j.runCount -= r.count
+		}
+	})
+}
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -22,8 +24,14 @@
 
 	nodes    map[string]units.Micros // key -> first seen here
 	parts    map[int]*part
+	groups   []*group
 	machines map[string]*machine
+	ever     map[string]bool // names of all machines that were seen here
+	byName   []*machine      // of machines, in order; nil when that has changed
 	jobs     map[string]*job
+	shelves  []*shelf
+	byAge    []*job // accepted jobs, the oldest first; nil when that has changed
+	packs    map[string]*pack
 	finals   *finals
 	base     *state.BaseDoc
 }
@@ -33,6 +41,32 @@
 	doc   state.Part
 }
 
+// group is a document of machines; its stamp is 0 while there is none.
+type group struct {
+	n        int
+	key      string
+	stamp    uint64
+	size     int // of the value as stored
+	part     int
+	handover uint64
+	members  []*machine // in order of their names
+}
+
+// shelf is a document of accepted jobs.
+type shelf struct {
+	key  string
+	size int
+	ids  []string
+}
+
+// pack is a document of jobs' progress.
+type pack struct {
+	key  string
+	part int
+	size int
+	jobs map[string]state.Done
+}
+
 // job is all that is known of a job that is not over. An entry also exists for
 // tasks on machines whose job is gone, until those machines are cleared.
 type job struct {
@@ -40,7 +74,7 @@
 	known     bool
 	spec      state.Job
 	done      state.Set
-	doneStamp uint64
+	pack      *pack        // where its progress is stored, if any is
 	avg       units.Micros // stored average of finished tasks
 	avgOf     int          // and of how many
 	cancelled bool
@@ -48,14 +82,15 @@
 	part      int
 
 	// The owner's own knowledge, lost with it.
-	extra     map[int]bool // done on machines of this node, not yet stored
-	runSum    units.Micros // lengths of those
-	runCount  int
-	share     float64
-	failures  int
-	retryAt   units.Micros
-	seenAt    units.Micros
-	remaining units.Micros
+	extra    map[int]bool // done on machines of this node, not yet stored
+	runSum   units.Micros // lengths of those
+	runCount int
+	share    float64
+	failures int
+	retryAt  units.Micros
+	seenAt   units.Micros
+	flushAt  units.Micros // when its progress was last written
+	storedAs string       // done, as it is stored
 }
 
 type bind struct {
@@ -65,13 +100,24 @@
 
 func (j *job) isDone(n int) bool { return j.extra[n] || j.done.Has(n) }
 
-func newReplica() *replica {
-	return &replica{
+func newReplica(spread int, defaultPart func(group int) int) *replica {
+	r := &replica{
 		stamps: map[string]uint64{}, tombs: map[string]uint64{}, nodes: map[string]units.Micros{},
-		parts: map[int]*part{}, machines: map[string]*machine{}, jobs: map[string]*job{}, finals: newFinals(40000),
+		parts: map[int]*part{}, machines: map[string]*machine{}, jobs: map[string]*job{}, packs: map[string]*pack{}, ever: map[string]bool{}, finals: newFinals(40000),
+	}
+	for n := range spread {
+		r.groups = append(r.groups, &group{n: n, key: state.GroupKey(n), part: defaultPart(n)})
+		r.shelves = append(r.shelves, &shelf{key: state.ShelfKey(n)})
 	}
+	return r
 }
 
+func (r *replica) groupOf(machine string) *group {
+	return r.groups[state.GroupOf(machine, len(r.groups))]
+}
+
+func (r *replica) shelfOf(job string) *shelf { return r.shelves[state.ShelfOf(job, len(r.shelves))] }
+
 func (r *replica) job(id string) *job {
 	j := r.jobs[id]
 	if j == nil {
@@ -83,7 +129,7 @@
 
 // tidy drops an entry of which nothing is left.
 func (r *replica) tidy(j *job) {
-	if !j.known && !j.cancelled && j.doneStamp == 0 && len(j.bound) == 0 {
+	if !j.known && !j.cancelled && j.pack == nil && len(j.bound) == 0 {
 		delete(r.jobs, j.id)
 	}
 }
@@ -130,43 +176,16 @@
 			r.parts[n] = &part{stamp: stamp, doc: doc}
 			c.ownership(n)
 		}
-	case strings.HasPrefix(key, state.Machines):
-		c.applyMachine(strings.TrimPrefix(key, state.Machines), val, stamp, deleted)
-	case strings.HasPrefix(key, state.Jobs):
-		j := r.job(strings.TrimPrefix(key, state.Jobs))
-		if deleted {
-			j.known = false
-			r.tidy(j)
-			return
+	case strings.HasPrefix(key, state.Groups):
+		if n, err := strconv.Atoi(strings.TrimPrefix(key, state.Groups)); err == nil && n < len(r.groups) && !deleted {
+			c.applyGroup(r.groups[n], val, stamp)
 		}
-		var doc state.Job
-		if c.decode(key, val, &doc) {
-			doc.ID = j.id
-			j.spec, j.known = doc, true
-			j.part = c.partOf(doc.Team)
-			j.seenAt = c.now
+	case strings.HasPrefix(key, state.Shelves):
+		if n, err := strconv.Atoi(strings.TrimPrefix(key, state.Shelves)); err == nil && n < len(r.shelves) {
+			c.applyShelf(r.shelves[n], val)
 		}
 	case strings.HasPrefix(key, state.Progress):
-		j := r.job(strings.TrimPrefix(key, state.Progress))
-		if deleted {
-			j.doneStamp = 0
-			r.tidy(j)
-			return
-		}
-		var doc state.Done
-		if c.decode(key, val, &doc) {
-			set, err := state.ParseSet(doc.Ranges)
-			if err != nil {
-				c.log.Error("unreadable progress", "job", j.id, "err", err)
-				return
-			}
-			j.done, j.doneStamp, j.avg, j.avgOf = set, stamp, units.FromSeconds(doc.AvgS), doc.Of
-			for n := range j.extra {
-				if set.Has(n) {
-					delete(j.extra, n)
-				}
-			}
-		}
+		c.applyPack(key, val)
 	case key == state.Base:
 		var doc state.BaseDoc
 		if !deleted && c.decode(key, val, &doc) {
@@ -181,54 +200,175 @@
 	}
 }
 
-func (c *Core) applyMachine(name string, val json.RawMessage, stamp uint64, deleted bool) {
+// applyShelf takes a shelf's new contents; none when it was deleted.
+func (c *Core) applyShelf(s *shelf, val json.RawMessage) {
 	r := c.rep
-	m := r.machines[name]
-	if m != nil {
-		for _, t := range m.doc.Tasks {
-			j := r.job(t.Job)
-			if b, ok := j.bound[t.Num]; ok && b.m == m && b.attempt == t.Attempt {
-				delete(j.bound, t.Num)
-			}
+	var doc state.Shelf
+	if len(val) > 0 && !c.decode(s.key, val, &doc) {
+		return
+	}
+	r.byAge = nil
+	old := s.ids
+	s.ids, s.size = make([]string, 0, len(doc.Jobs)), len(val)
+	still := make(map[string]bool, len(doc.Jobs))
+	for i := range doc.Jobs {
+		spec := &doc.Jobs[i]
+		s.ids = append(s.ids, spec.ID)
+		still[spec.ID] = true
+		j := r.job(spec.ID)
+		if !j.known {
+			j.spec, j.known, j.seenAt = *spec, true, c.now
+			j.part = c.partOf(spec.Team)
+		}
+	}
+	for _, id := range old {
+		if j := r.jobs[id]; j != nil && !still[id] {
+			j.known = false
 			r.tidy(j)
 		}
 	}
-	if deleted {
-		delete(r.machines, name)
+}
+
+// applyPack takes a progress document's new contents; none when it was deleted.
+func (c *Core) applyPack(key string, val json.RawMessage) {
+	r := c.rep
+	var doc state.Pack
+	if len(val) > 0 && !c.decode(key, val, &doc) {
 		return
 	}
-	var doc state.Machine
-	if !c.decode(state.Machines+name, val, &doc) {
+	old := r.packs[key]
+	p := &pack{key: key, size: len(val), jobs: doc.Jobs}
+	if _, err := fmt.Sscanf(strings.TrimPrefix(key, state.Progress), "%d/", &p.part); err != nil {
+		c.log.Error("unreadable key", "key", key)
 		return
 	}
-	if m == nil {
-		m = &machine{name: name}
-		r.machines[name] = m
+	delete(r.packs, key)
+	if len(doc.Jobs) > 0 {
+		r.packs[key] = p
 	}
+	for id, d := range doc.Jobs {
+		j := r.job(id)
+		j.pack = p
+		if j.storedAs == d.Ranges {
+			continue
+		}
+		set, err := state.ParseSet(d.Ranges)
+		if err != nil {
+			c.log.Error("unreadable progress", "job", id, "err", err)
+			continue
+		}
+		j.done, j.storedAs, j.avg, j.avgOf = set, d.Ranges, units.FromSeconds(d.AvgS), d.Of
+		for n := range j.extra {
+			if set.Has(n) {
+				delete(j.extra, n)
+			}
+		}
+	}
+	if old == nil {
+		return
+	}
+	for id := range old.jobs {
+		if j := r.jobs[id]; j != nil && j.pack == old {
+			j.pack = nil
+			r.tidy(j)
+		}
+	}
+}
+
+// applyGroup takes a group's new contents.
+func (c *Core) applyGroup(g *group, val json.RawMessage, stamp uint64) {
+	r := c.rep
+	var doc state.Group
+	if !c.decode(g.key, val, &doc) {
+		return
+	}
+	moved := g.part != doc.Part
+	g.stamp, g.size, g.part, g.handover = stamp, len(val), doc.Part, doc.Handover
+	before := g.members
+	g.members = make([]*machine, 0, len(doc.Machines))
+	for i := range doc.Machines {
+		d := &doc.Machines[i]
+		m := r.machines[d.Name]
+		if m == nil {
+			m = &machine{name: d.Name, g: g}
+			r.machines[d.Name] = m
+			r.ever[d.Name] = true
+			r.byName = nil
+		}
+		g.members = append(g.members, m)
+		c.applyMachine(m, d, moved)
+	}
+	for _, m := range before {
+		if !slices.Contains(g.members, m) {
+			c.unbind(m)
+			delete(r.machines, m.name)
+			r.byName = nil
+		}
+	}
+}
+
+// unbind takes what the machine's entry lists off the jobs.
+func (c *Core) unbind(m *machine) {
+	for _, t := range m.doc.Tasks {
+		j := c.rep.job(t.Job)
+		if b, ok := j.bound[t.Num]; ok && b.m == m && b.attempt == t.Attempt {
+			delete(j.bound, t.Num)
+		}
+		c.rep.tidy(j)
+	}
+}
+
+func (c *Core) applyMachine(m *machine, doc *state.Machine, moved bool) {
+	own := c.owned[m.g.part]
 	old := m.doc
-	m.doc, m.stamp = doc, stamp
-	for _, t := range doc.Tasks {
-		r.job(t.Job).bound[t.Num] = bind{m, t.Attempt}
+	changed := !slices.Equal(old.Tasks, doc.Tasks) || old.Handover != doc.Handover || old.Retired != doc.Retired || old.Name == ""
+	if changed {
+		c.unbind(m)
+		m.doc = *doc
+		for _, t := range doc.Tasks {
+			j := c.rep.job(t.Job)
+			j.bound[t.Num] = bind{m, t.Attempt}
+			if t.Ran > 0 && !j.isDone(t.Num) {
+				c.completed(j, t.Num, units.Micros(t.Ran-1)*100*units.Millisecond)
+			}
+		}
+		if !moved && own == nil {
+			c.missed(old.Tasks)
+		}
 	}
-	c.missed(m, old, doc)
-	if own := c.owned[doc.Part]; own != nil && (m.rt == nil || old.Part != doc.Part || old.Handover != doc.Handover && m.rt.owner != own) {
+	switch {
+	case own == nil || doc.Retired:
+		m.rt = nil
+	case m.rt == nil || moved || m.rt.owner != own:
 		c.acquire(m, own)
+	case changed:
+		for k := range m.rt.ended {
+			if !m.lists(k) {
+				delete(m.rt.ended, k)
+			}
+		}
+		c.poke(m)
 	}
-	if c.owned[doc.Part] == nil {
-		m.rt = nil
-	} else if m.rt != nil {
-		c.stir(m)
+}
+
+// completed notes a task that has completed, and how long it ran if that is
+// known.
+func (c *Core) completed(j *job, n int, ran units.Micros) {
+	if j.extra == nil {
+		j.extra = map[int]bool{}
+	}
+	j.extra[n] = true
+	if ran > 0 {
+		j.runSum += ran
+		j.runCount++
 	}
 }
 
 // missed notes tasks of this node's partitions that another owner took off its
 // machine though nobody had asked for it: they failed there. Without this a job
 // that fails everywhere would be placed on others' machines without end.
-func (c *Core) missed(m *machine, old, doc state.Machine) {
-	if old.Part != doc.Part || c.owned[doc.Part] != nil {
-		return
-	}
-	for _, t := range old.Tasks {
+func (c *Core) missed(old state.Tasks) {
+	for _, t := range old {
 		j := c.rep.jobs[t.Job]
 		if j == nil || !j.known || j.cancelled || t.Stop > 0 || j.isDone(t.Num) || c.owned[j.part] == nil {
 			continue
--- /dev/null
+++ b/internal/core/services.go
@@ -0,0 +1,216 @@
+package core
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// placeServices puts services first, whole as far as room goes, and makes room
+// by stopping work of lower grade.
+func (c *Core) placeServices(b *batch, jobs []*job) {
+	for _, j := range jobs {
+		if !j.spec.Service || j.cancelled || c.now < j.retryAt {
+			continue
+		}
+		for n := 0; n < j.spec.Tasks; n++ {
+			if _, ok := j.bound[n]; ok {
+				continue
+			}
+			if !b.underLimit(j) {
+				break
+			}
+			hole := holeOf(j)
+			if b.failed[hole] {
+				break
+			}
+			d := b.choose(j)
+			lower := func(v *job) bool { return v.spec.Grade < j.spec.Grade }
+			if d != nil && !d.has(j.spec.Image) && c.fetchTooSlow(j, d.m) && c.preempt(b, j, n, true, lower) {
+				continue
+			}
+			if d != nil {
+				b.put(d, j, n)
+			} else if !c.preempt(b, j, n, false, lower) {
+				b.failed[hole] = true
+				break
+			}
+		}
+	}
+}
+
+// holeKey is what a task needs of a machine: once one finds no room, others that
+// need the same need not be tried.
+type holeKey struct {
+	cpus, gpus, mem float64
+	zone, types     string
+	grade           int
+	spot, apart     bool
+	team            string
+}
+
+func holeOf(j *job) holeKey {
+	s := &j.spec
+	k := holeKey{s.CPUs, s.GPUs, s.MemGB, s.Zone, strings.Join(s.Types, ","), s.Grade, s.Spot, s.Spread || s.OneZone, s.Team}
+	if k.apart {
+		k.team = s.Team + "/" + j.id // depends on where its other tasks are
+	}
+	return k
+}
+
+// fetchTooSlow reports whether fetching the image on m would take longer than
+// the class may wait for its start.
+func (c *Core) fetchTooSlow(j *job, m *machine) bool {
+	t := c.machineType(m.doc.Type)
+	for _, o := range c.cfg.Settings.Objectives {
+		if o.Kind == "wait" && o.Class == j.spec.Class && t != nil && t.FetchGBs > 0 {
+			return j.spec.ImageGB/t.FetchGBs > o.WithinS*0.8
+		}
+	}
+	return false
+}
+
+// preempt puts task n of j in the place of others: it enters it on the machine
+// where least is lost, together with the stops that make room for it, so that
+// nobody else takes that room. With needImage only machines that have its image
+// count. Victims must be eligible. It reports whether a place was found.
+func (c *Core) preempt(b *batch, j *job, n int, needImage bool, eligible func(*job) bool) bool {
+	var best *draft
+	var victims []taskKey
+	bestLoss := math.Inf(1)
+	for _, d := range b.drafts {
+		if !c.allowed(j, d.m) || d.gd.bytes < taskBytes || !b.room(d.gd) || needImage && !d.has(j.spec.Image) {
+			continue
+		}
+		g := d.gap
+		loss := 0.0
+		var vs []taskKey
+		for try := g; !try.take(&j.spec); try = g {
+			k, cost, ok := c.cheapest(d, eligible, vs)
+			if !ok {
+				loss = math.Inf(1)
+				break
+			}
+			v := &c.rep.jobs[k.job].spec
+			vs = append(vs, k)
+			g.fill(v, -1)
+			loss += cost
+		}
+		if !d.has(j.spec.Image) {
+			loss += 60
+		}
+		if !d.gd.own {
+			loss += 10
+		}
+		if j.spec.Service && c.rented(d.m.name) {
+			loss += 30
+		}
+		if loss < bestLoss {
+			best, bestLoss, victims = d, loss, vs
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, k := range victims {
+		best.stop(k, state.StopNow)
+		best.gap.fill(&c.rep.jobs[k.job].spec, -1)
+		c.log.Info("preempt", "task", k.task(), "machine", best.m.name, "for", j.id, "partition", b.o.n)
+	}
+	b.put(best, j, n)
+	return true
+}
+
+// cheapest finds the eligible task on d that loses least when it is stopped.
+func (c *Core) cheapest(d *draft, eligible func(*job) bool, not []taskKey) (taskKey, float64, bool) {
+	var best taskKey
+	bestCost, found := 0.0, false
+next:
+	for _, t := range d.keep {
+		k := keyOf(t)
+		for _, x := range not {
+			if x == k {
+				continue next
+			}
+		}
+		j := c.rep.jobs[t.Job]
+		if j == nil || !j.known || !c.wanted(t) || d.stops[k] > 0 || !eligible(j) {
+			continue
+		}
+		cost := 0.0
+		if d.m.rt == nil {
+			cost = 20 // what it has done is known to its owner only
+		} else if run, ok := d.m.rt.runs[k]; ok {
+			cost = (c.now - run.at).Seconds()
+			if j.spec.CkptS > 0 {
+				cost = min(cost, j.spec.CkptS)
+			}
+		}
+		cost += float64(j.spec.Grade) * 1000
+		if !found || cost < bestCost {
+			best, bestCost, found = k, cost, true
+		}
+	}
+	return best, bestCost, found
+}
+
+// evacuate saves what can be saved on machines that the cloud is about to take
+// back: services leave at once, tasks with checkpoints as late as they can.
+// Others run on, since they may complete in time.
+func (c *Core) evacuate(b *batch) {
+	for _, d := range b.drafts {
+		if !d.gd.own || !d.m.rt.noticed {
+			continue
+		}
+		left := d.m.rt.noticeAt - c.now
+		for _, t := range d.keep {
+			j := c.rep.jobs[t.Job]
+			if j == nil || !c.wanted(t) || !b.room(d.gd) {
+				continue
+			}
+			if j.spec.Service || j.spec.CkptS > 0 && left < units.FromSeconds(j.spec.SaveS)+lastMoment {
+				b.touch(d.gd)
+				d.stop(keyOf(t), state.StopSave)
+			}
+		}
+	}
+}
+
+// moveServices takes services off machines that are to be given back, where
+// another machine has their image and room, so that they are away for a moment
+// only. Those that have just started stay for now.
+func (c *Core) moveServices(b *batch) {
+	if !c.every("move"+strconv.Itoa(b.o.n), 500*units.Millisecond) {
+		return
+	}
+	moves := 0
+	for _, d := range b.drafts {
+		if !d.gd.own || !d.m.rt.draining || !c.settled(d.m) {
+			continue
+		}
+		for _, t := range d.keep {
+			j := c.rep.jobs[t.Job]
+			k := keyOf(t)
+			run, runs := d.m.rt.runs[k]
+			if j == nil || !j.known || !j.spec.Service || !c.wanted(t) || !runs || c.now-run.at < restFor || !b.room(d.gd) {
+				continue
+			}
+			delete(j.bound, t.Num) // it does not stand in its own way
+			to := b.choose(j)
+			j.bound[t.Num] = bind{d.m, t.Attempt}
+			if to == nil || !to.has(j.spec.Image) || c.rented(to.m.name) && to.live == 0 {
+				continue
+			}
+			b.touch(d.gd)
+			d.stop(k, state.StopNow)
+			to.cpus, to.mem = to.cpus-j.spec.CPUs, to.mem-j.spec.MemGB
+			c.log.Info("move service", "task", k.task(), "from", d.m.name, "to", to.m.name)
+			if moves++; moves >= 2 {
+				return
+			}
+		}
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"frostdock.example/frostdock/internal/intake"
 	"frostdock.example/frostdock/internal/state"
@@ -27,9 +26,8 @@
 }
 
 type accept struct {
-	job  *state.Job
-	to   uint64
-	mark string
+	job *state.Job
+	to  uint64
 }
 
 const (
@@ -182,48 +180,80 @@
 	})
 }
 
-// sendAccepts stores all waiting submissions in one transaction.
+// sendAccepts stores waiting submissions, as many as one transaction takes. Each
+// controller begins at shelves of its own, so that they seldom meet.
 func (c *Core) sendAccepts() {
-	if len(c.accepts) == 0 || c.accepting {
+	if len(c.accepts) == 0 || c.accepting || c.rep.watchRev < c.acceptRev || c.tokens < 1 {
 		return
 	}
-	var live []accept
+	byShelf := map[*shelf][]accept{}
 	for _, a := range c.accepts {
 		if _, ok := c.open[a.to]; ok {
-			live = append(live, a)
+			s := c.rep.shelfOf(a.job.ID)
+			byShelf[s] = append(byShelf[s], a)
 		}
 	}
-	c.accepts = live
-	n := min(len(live), int(c.tokens), c.cfg.Settings.State.TxnOps, 20)
-	if n < 1 {
-		return
-	}
-	batch := live[:n:n]
-	c.accepts = append([]accept{}, live[n:]...)
+	c.accepts = nil
 	mark := c.mark()
 	txn := &state.Txn{}
-	seen := map[string]bool{}
 	size := 0
 	var in []accept
-	for _, a := range batch {
-		a.job.Mark = mark
-		val := encode(a.job)
-		if seen[a.job.ID] || size+len(val) > txnBytes || len(val) > int(c.cfg.Settings.State.ValueKB*1024)-100 && len(in) > 0 {
-			c.accepts = append(c.accepts, a) // the same id twice: the second follows the first
+	first := c.memberRank() * len(c.rep.shelves) / c.cfg.Settings.Size
+	for i := range c.rep.shelves {
+		s := c.rep.shelves[(first+i)%len(c.rep.shelves)]
+		wait := byShelf[s]
+		if len(wait) == 0 {
+			continue
+		}
+		if c.writing[s.key] || len(txn.Apply) >= min(c.cfg.Settings.State.TxnOps, int(c.tokens)) || size > txnBytes/2 {
+			c.accepts = append(c.accepts, wait...)
+			continue
+		}
+		doc := c.shelfDoc(s, nil)
+		room := c.valueMax() - s.size
+		var put []accept
+		for _, a := range wait {
+			j := c.rep.jobs[a.job.ID]
+			twice := slices.ContainsFunc(put, func(b accept) bool { return b.job.ID == a.job.ID })
+			cost := len(encode(a.job)) + 1
+			switch {
+			case j != nil && j.known: // entered meanwhile, by way of another controller
+				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
+			case cost > c.valueMax()-headBytes:
+				c.answer(a.to, 422, map[string]string{"error": "too large to be stored"})
+			case twice || len(txn.Guards)+len(put)+2 > 3*c.cfg.Settings.State.TxnOps:
+				c.accepts = append(c.accepts, a)
+			case cost > room:
+				c.answer(a.to, 503, nil) // the shelf is full: others must end first
+			default:
+				room -= cost
+				put = append(put, a)
+				doc.Jobs = append(doc.Jobs, *a.job)
+			}
+		}
+		if len(put) == 0 {
 			continue
 		}
-		seen[a.job.ID] = true
+		doc.Mark = mark
+		val := encode(doc)
 		size += len(val)
-		in = append(in, a)
-		txn.Guards = append(txn.Guards, state.Guard{Key: state.Jobs + a.job.ID}, state.Guard{Key: state.Finals + a.job.ID})
-		txn.Apply = append(txn.Apply, state.Op{Set: state.Jobs + a.job.ID, Value: val})
+		txn.Guards = append(txn.Guards, state.Guard{Key: s.key, Stamp: c.rep.stamps[s.key]})
+		for _, a := range put {
+			txn.Guards = append(txn.Guards, state.Guard{Key: state.Finals + a.job.ID})
+		}
+		txn.Apply = append(txn.Apply, state.Op{Set: s.key, Value: val})
+		in = append(in, put...)
+	}
+	if len(in) == 0 {
+		return
 	}
 	c.accepting = true
+	c.writeKeys(txn, true)
 	c.commit(txn, mark, func(res outcome, rev uint64, failed []string) {
 		c.accepting = false
-		bad := map[string]bool{}
-		for _, key := range failed {
-			bad[key[strings.LastIndexByte(key, '/')+1:]] = true
+		c.writeKeys(txn, false)
+		if res == conflict {
+			c.acceptRev = rev // the shelves as they now are must be seen first
 		}
 		for _, a := range in {
 			switch {
@@ -231,14 +261,8 @@
 				c.answer(a.to, 201, &Status{ID: a.job.ID, Stage: Pending})
 			case res == refused:
 				c.answer(a.to, 503, nil)
-			case bad[a.job.ID] || len(failed) == 0: // known already: its state is the answer
-				c.current(a.job.ID, func(st *Status, ok bool) {
-					if ok && st != nil {
-						c.answer(a.to, 200, st)
-					} else {
-						c.answer(a.to, 503, nil)
-					}
-				})
+			case slices.Contains(failed, state.Finals+a.job.ID): // over already
+				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
 			default:
 				c.accepts = append(c.accepts, a)
 			}
@@ -246,16 +270,64 @@
 	})
 }
 
+// known answers a submission of a job that was found to be known already.
+func (c *Core) known(to uint64, st *Status, ok bool) {
+	if ok && st != nil {
+		c.answer(to, 200, st)
+	} else {
+		c.answer(to, 503, nil)
+	}
+}
+
+// shelfDoc is a shelf as it stands, without the jobs named in less.
+func (c *Core) shelfDoc(s *shelf, less map[string]bool) *state.Shelf {
+	doc := &state.Shelf{}
+	for _, id := range s.ids {
+		if !less[id] {
+			doc.Jobs = append(doc.Jobs, c.rep.jobs[id].spec)
+		}
+	}
+	return doc
+}
+
+// memberRank is this member's place among all, by name.
+func (c *Core) memberRank() int {
+	n := 0
+	for _, o := range c.cfg.Others {
+		if o.Member < c.cfg.Member {
+			n++
+		}
+	}
+	return n
+}
+
+// writeKeys notes which keys a transaction under way writes.
+func (c *Core) writeKeys(txn *state.Txn, under bool) {
+	for _, op := range txn.Apply {
+		if under {
+			c.writing[op.Set+op.Delete] = true
+		} else {
+			delete(c.writing, op.Set+op.Delete)
+		}
+	}
+}
+
+// valueMax is how long a stored value may be: as the store allows, and so that
+// one transaction takes at least two.
+func (c *Core) valueMax() int {
+	return min(int(c.cfg.Settings.State.ValueKB*1024)-100, txnBytes/2-headBytes)
+}
+
 // cancel writes the job's end; the owner sees it and stops the tasks.
 func (c *Core) cancel(q UserReq) {
-	if c.rep.jobs[q.ID] == nil {
+	if j := c.rep.jobs[q.ID]; j == nil || !j.known {
 		c.answer(q.To, 503, nil)
 		return
 	}
 	mark := c.mark()
 	f := state.Final{Stage: Cancelled, Mark: mark}
 	txn := &state.Txn{
-		Guards: []state.Guard{{Key: state.Finals + q.ID}, {Key: state.Jobs + q.ID, Stamp: c.rep.stamps[state.Jobs+q.ID]}},
+		Guards: []state.Guard{{Key: state.Finals + q.ID}},
 		Apply: []state.Op{
 			{Set: state.Finals + q.ID, Value: encode(f)},
 			{Set: state.Cancels + q.ID, Value: encode(map[string]string{"w": mark})},
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -15,8 +15,8 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	var b strings.Builder
 	pick := func(words ...string) string { return words[rng.IntN(len(words))] }
-	fmt.Fprintf(&b, "set nodes=%d end=420 seed=%d flaky=%.3f keep=%s lease=%s cancel=%s\n", 2+rng.IntN(3), seed, rng.Float64()*0.06,
-		pick("20", "10000"), pick("12", "22"), pick("40", "47"))
+	fmt.Fprintf(&b, "set nodes=%d end=420 seed=%d flaky=%.3f keep=%s copies=%s lease=%s cancel=%s value=%s\n", 2+rng.IntN(3), seed, rng.Float64()*0.06,
+		pick("20", "10000"), pick("0", "0.1"), pick("12", "22"), pick("40", "47"), pick("4", "100")) // large values: many machines in one document
 	b.WriteString("team red cpus=20 max=40\nteam blue max=60\nteam green cpus=30\n")
 	b.WriteString("type big cpus=16 mem=64 gpus=1 zones=a,b count=5 spot=3\ntype small cpus=4 mem=16 zones=a,b count=6 spot=4\n")
 	fmt.Fprintf(&b, "machines big n=%d zone=a\nmachines small n=%d zone=b\nmachines big n=1 zone=b spot=yes\n", 1+rng.IntN(4), 1+rng.IntN(4))
@@ -41,7 +41,7 @@
 	}
 	for range 12 {
 		at, d := 3+rng.Float64()*280, 3+rng.Float64()*40
-		switch rng.IntN(11) {
+		switch rng.IntN(14) {
 		case 0:
 			fmt.Fprintf(&b, "at %.1f crash node0 for=%.1f\n", at, 0.2+rng.Float64()*8)
 		case 1:
@@ -63,6 +63,12 @@
 		case 9:
 			fmt.Fprintf(&b, "at %.1f %s busiest for=%.1f\n", at, pick("die", "notice", "take"), d)
 		case 10:
+			fmt.Fprintf(&b, "at %.1f cut n-00000%d * for=%.1f mode=deaf\n", at, 1+rng.IntN(5), d*2)
+		case 11: // workers are all that this controller reaches
+			fmt.Fprintf(&b, "at %.1f cut node0 state for=%.1f\nat %.1f cut node0 node* for=%.1f\n", at, d*2, at, d*2)
+		case 12:
+			fmt.Fprintf(&b, "at %.1f crash node0,node1 for=%.2f\nat %.1f crash node0 for=%.2f\n", at, rng.Float64(), at+rng.Float64()*4, rng.Float64())
+		case 13:
 			fmt.Fprintf(&b, "at %.1f cloud_outage for=%.1f\nat %.1f cut node1 n-* for=%.1f mode=hold\n", at, d, at+1, d)
 		}
 	}
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -155,7 +155,7 @@
 	cfg.Limits.MemoryMB, cfg.Limits.Sockets = 200, 2000
 	w.store.writes.rate = cfg.State.WriteRPS
 	w.store.keep = int(s.set.num("keep", 10000))
-	w.flaky = s.set.num("flaky", 0)
+	w.flaky, w.copies = s.set.num("flaky", 0), s.set.num("copies", 0)
 	w.Rules.CancelIn = units.FromSeconds(cfg.Workers.CancelS)
 	w.cloud.types, w.cloud.left = s.types, s.left
 	w.cloud.fail, w.cloud.boot = s.set.num("bootfail", 0), s.set.num("bootfactor", 1)
@@ -259,7 +259,7 @@
 			})
 		}
 	case "cut":
-		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: a.val("mode", "drop") == "hold"})
+		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: a.val("mode", "drop") == "hold", deaf: a.val("mode", "drop") == "deaf"})
 	case "refuse":
 		w.store.refuse[a.str(0)] = w.now + length
 	case "outage":
@@ -361,6 +361,17 @@
 				}
 			}
 		}
+	case "gone": // machines that were given back or have died
+		for _, n := range a.pos[1:] {
+			if w.workers[n] != nil {
+				return n + " is there", nil
+			}
+		}
+	case "known": // entries of machines in the store
+		n := strings.Count(w.store.text(state.Groups), `"a":"`)
+		if lo, hi := int(a.num("min", 0)), int(a.num("max", 1e9)); n < lo || n > hi {
+			return fmt.Sprintf("there are %d", n), nil
+		}
 	case "started":
 		if lo, hi := int(a.num("min", 0)), int(a.num("max", 1e9)); w.Rules.Started < lo || w.Rules.Started > hi {
 			return fmt.Sprintf("%d tasks were started", w.Rules.Started), nil
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -33,6 +33,17 @@
 	hold  uint64
 }
 
+// text is all values under a prefix.
+func (s *store) text(under string) string {
+	var b strings.Builder
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, under) {
+			b.Write(e.val)
+		}
+	}
+	return b.String()
+}
+
 type hold struct {
 	ttl units.Micros
 	end units.Micros
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -182,6 +182,13 @@
 	k.nextAt = w.now + units.Micros(float64(period)*(0.75+0.5*w.rng.Float64()))
 	r := k.report()
 	n, sess, sent := w.nodes[k.node], k.session, w.now
+	if w.copies > 0 && w.rng.Float64() < w.copies { // nobody waits for its answer
+		o := w.nodes[w.rng.IntN(len(w.nodes))]
+		late := units.FromSeconds(1 + w.rng.Float64()*w.rng.Float64()*3*k.lease().Seconds())
+		w.after(late, func() {
+			o.ask(func(to uint64) core.Msg { return core.ReportReq{To: to, Report: r} }, func(core.Reply) {})
+		})
+	}
 	call(w, k.name, n.name, 4*units.Second, func(answer func(core.Reply)) {
 		n.ask(func(to uint64) core.Msg { return core.ReportReq{To: to, Report: r} }, answer)
 	}, func(a core.Reply, ok bool) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -58,6 +58,8 @@
 	cuts  []*cut
 	flaky float64 // chance that an answer is lost, or a request is carried out late
 	lag   units.Micros
+
+	copies float64 // chance that a copy of a report comes late, to any controller
 }
 
 // cut is an interruption between two kinds of host.
@@ -65,6 +67,7 @@
 	a, b  string
 	until units.Micros
 	hold  bool
+	deaf  bool // only what b sends to a is lost
 }
 
 // controller is one process of the service, or the gap between two.
@@ -130,10 +133,10 @@
 	return d
 }
 
-// blocked finds an interruption between two hosts.
-func (w *World) blocked(a, b string) *cut {
+// blocked finds an interruption of what one host sends to another.
+func (w *World) blocked(from, to string) *cut {
 	for _, c := range w.cuts {
-		if w.now < c.until && (matches(c.a, a) && matches(c.b, b) || matches(c.a, b) && matches(c.b, a)) {
+		if w.now < c.until && (matches(c.a, from) && matches(c.b, to) && !c.deaf || matches(c.a, to) && matches(c.b, from)) {
 			return c
 		}
 	}
@@ -172,7 +175,7 @@
 			return
 		}
 		serve(func(v T) {
-			if w.blocked(from, to) != nil || w.rng.Float64() < w.flaky {
+			if w.blocked(to, from) != nil || w.rng.Float64() < w.flaky {
 				return
 			}
 			w.after(w.jitter(), func() { finish(v, true) })
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -1,20 +1,24 @@
 // Package state owns what frostdock keeps in the state service: the layout of
 // its keys, the documents, the wire messages and the client.
 //
+// Changes are scarce, so documents are shared: a change of many machines or
+// jobs costs as many writes as there are documents that it touches.
+//
 // Layout:
 //
 //	k/a/n/MEMBER/INC  a living process (removed with its lease)
 //	k/a/p/N           partition N: owner and epoch; its stamp guards every write of the owner
-//	k/a/m/MACHINE     a machine: partition, handovers, and all tasks that may be on it
-//	k/a/j/JOB         an accepted job, never changed while it stands
-//	k/a/d/JOB         the tasks of it that are done, as ranges
+//	k/a/g/N           group N of machines: partition, and for each machine all tasks that may be on it
+//	k/a/j/N           shelf N of accepted jobs; a job's id says on which shelf it stands
+//	k/a/d/P/N         progress of some jobs of partition P's teams: the tasks that are done, as ranges
 //	k/a/x/JOB         mark of a cancelled job that is not yet cleared away
-//	k/a/b             the newest machine that was there before anything was rented
+//	k/a/b             the first machine that was rented
 //	k/f/JOB           the job's end. Whoever writes it first decides: done or cancelled
 package state
 
 import (
 	"fmt"
+	"hash/fnv"
 	"sort"
 	"strconv"
 	"strings"
@@ -26,14 +30,46 @@
 	Active   = "k/a/"
 	Nodes    = "k/a/n/"
 	Parts    = "k/a/p/"
-	Machines = "k/a/m/"
-	Jobs     = "k/a/j/"
+	Groups   = "k/a/g/"
+	Shelves  = "k/a/j/"
 	Progress = "k/a/d/"
 	Cancels  = "k/a/x/"
 	Base     = "k/a/b"
 	Finals   = "k/f/"
 )
 
+// Spread is how many documents the machines, and the jobs, are spread over. It
+// follows from how large a value may be, so that a thousand machines with eight
+// tasks each fill less than half of what there is.
+func Spread(valueKB float64) int { return max(8, min(256, int(512/valueKB))) }
+
+// GroupOf is the group that a machine stands in. Names are numbered in order of
+// creation, so machines of one type, rented together, end up in many groups.
+func GroupOf(machine string, groups int) int { return number(machine) % groups }
+
+// ShelfOf is the shelf that a job stands on.
+func ShelfOf(job string, shelves int) int { return number(job) % shelves }
+
+// number is what a name ends in, or a hash of it.
+func number(name string) int {
+	digits := name[strings.LastIndexByte(name, '-')+1:]
+	if n, err := strconv.ParseUint(digits, 10, 31); err == nil {
+		return int(n)
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return int(h.Sum32() >> 1)
+}
+
+// GroupKey names group n.
+func GroupKey(n int) string { return Groups + strconv.Itoa(n) }
+
+// ShelfKey names shelf n.
+func ShelfKey(n int) string { return Shelves + strconv.Itoa(n) }
+
+// ProgressKey names pack n of a partition's progress.
+func ProgressKey(part, n int) string { return Progress + strconv.Itoa(part) + "/" + strconv.Itoa(n) }
+
 // NodeKey names a process: the member and its incarnation.
 func NodeKey(member, inc string) string { return Nodes + member + "/" + inc }
 
@@ -50,10 +86,11 @@
 
 // Task is one attempt of a task, bound to a machine.
 type Task struct {
-	Job     string `json:"j"`
-	Num     int    `json:"n"`
-	Attempt uint64 `json:"a"`
-	Stop    int    `json:"s,omitempty"` // to be stopped: StopSave or StopNow
+	Job     string
+	Num     int
+	Attempt uint64
+	Stop    int // to be stopped: StopSave or StopNow
+	Ran     int // it is done, 1 plus the tenths of a second that it ran; 0: it is not
 }
 
 // How a task is to be stopped.
@@ -62,29 +99,43 @@
 	StopNow  = 2 // its room is wanted at once
 )
 
-// Machine lists all that may be on a machine. It is written before any command
-// to launch, so that who takes over needs no guess.
+// Group is some machines of one partition. It is written before any command to
+// launch, so that who takes over needs no guess.
+type Group struct {
+	Part     int       `json:"p"`
+	Handover uint64    `json:"h,omitempty"` // how often it changed partitions
+	Machines []Machine `json:"m,omitempty"`
+	Mark     string    `json:"w,omitempty"`
+}
+
+// Machine lists all that may be on a machine.
 type Machine struct {
-	Part     int    `json:"p"`
-	Handover uint64 `json:"h"`
-	Addr     string `json:"ad"`
-	Type     string `json:"ty"`
+	Name     string `json:"n"`
+	Addr     string `json:"a"`
+	Type     string `json:"y"`
 	Zone     string `json:"z"`
-	Spot     bool   `json:"sp,omitempty"`
-	Tasks    []Task `json:"t,omitempty"`
-	Mark     string `json:"w,omitempty"`
+	Spot     bool   `json:"s,omitempty"`
+	Handover uint64 `json:"h,omitempty"` // how often its token was raised for itself
+	Retired  bool   `json:"r,omitempty"` // to be given back: it gets nothing more
+	Tasks    Tasks  `json:"t,omitempty"`
 }
 
-// BaseDoc names the newest machine of the operator's own: names are in order of
-// creation, so all later ones were rented by this service.
+// BaseDoc names the first machine that was rented by this service: names are in
+// order of creation, so all earlier ones are the operator's own.
 type BaseDoc struct {
-	Newest string `json:"n"`
-	Mark   string `json:"w,omitempty"`
+	First string `json:"n"`
+	Mark  string `json:"w,omitempty"`
+}
+
+// Shelf is some accepted jobs, in order of their ids.
+type Shelf struct {
+	Jobs []Job  `json:"j,omitempty"`
+	Mark string `json:"w,omitempty"`
 }
 
 // Job is an accepted job as submitted.
 type Job struct {
-	ID      string   `json:"-"`
+	ID      string   `json:"i"`
 	Class   string   `json:"c"`
 	Team    string   `json:"tm"`
 	Service bool     `json:"s,omitempty"`
@@ -105,7 +156,12 @@
 	SaveS   float64  `json:"sv,omitempty"`
 	DueS    float64  `json:"du,omitempty"`
 	At      int64    `json:"at"` // time of day at acceptance, microseconds
-	Mark    string   `json:"w,omitempty"`
+}
+
+// Pack is the progress of some jobs.
+type Pack struct {
+	Jobs map[string]Done `json:"j"`
+	Mark string          `json:"w,omitempty"`
 }
 
 // Done is a job's progress.
@@ -113,9 +169,8 @@
 	Ranges string `json:"r"`
 	// Average seconds of finished tasks, and of how many, so that estimates
 	// survive a take-over.
-	AvgS float64 `json:"av,omitempty"`
-	Of   int     `json:"ac,omitempty"`
-	Mark string  `json:"w,omitempty"`
+	AvgS float64 `json:"a,omitempty"`
+	Of   int     `json:"c,omitempty"`
 }
 
 // Final is a job's end.
--- a/internal/state/docs_test.go
+++ b/internal/state/docs_test.go
@@ -1,7 +1,10 @@
 package state
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 )
 
@@ -36,3 +39,42 @@
 		t.Fatal("nonsense was read")
 	}
 }
+
+func TestTasksText(t *testing.T) {
+	in := Tasks{
+		{Job: "j-000412", Num: 3, Attempt: 1<<28 | 7}, {Job: "j-000412", Num: 4, Attempt: 1<<28 | 7},
+		{Job: "j-000412", Num: 9, Attempt: 1<<28 | 7, Stop: StopSave}, {Job: "j-000412", Num: 10, Attempt: 1<<28 | 7, Ran: 124},
+		{Job: "j-7", Num: 0, Attempt: 1<<40 | 9, Stop: StopNow, Ran: 1}, {Job: "j-7", Num: 1, Attempt: 1 << 40},
+	}
+	text := in.text()
+	got, err := ParseTasks(text)
+	if err != nil || !slices.Equal(got, in) {
+		t.Fatalf("%q: %v, %v", text, got, err)
+	}
+	if parts := strings.Count(text, "~"); parts != 5 {
+		t.Errorf("%q has %d ranges, want 5", text, parts)
+	}
+	for _, bad := range []string{"x", "1:2", "1:2~", "1:a~1", "1:2-b~1", "1:2~1!x"} {
+		if _, err := ParseTasks(bad); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
+
+// TestSpread shows that documents of machines hold what a thousand machines run.
+func TestSpread(t *testing.T) {
+	for kb, want := range map[float64]int{1: 256, 4: 128, 16: 32, 1000: 8} {
+		if got := Spread(kb); got != want {
+			t.Errorf("%v KB: %d documents, want %d", kb, got, want)
+		}
+	}
+	in := map[int]int{}
+	for n := range 1000 {
+		in[GroupOf(fmt.Sprintf("n-%06d", n), 128)]++
+	}
+	for g, n := range in {
+		if n > 8 {
+			t.Errorf("group %d has %d machines", g, n)
+		}
+	}
+}
