--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -39,11 +39,7 @@
 		if j.spec.Service || j.cancelled {
 			continue
 		}
-		for n := range j.bound {
-			if !j.isDone(n) {
-				running[j]++
-			}
-		}
+		running[j] = j.active()
 		room += float64(running[j]) * j.spec.CPUs
 		if average[j] = c.observed(j); average[j] > 0 {
 			sum += average[j]
@@ -225,11 +221,5 @@
 
 // waiting counts the tasks that are neither done nor bound.
 func (j *job) waiting() int {
-	n := j.spec.Tasks - j.doneCount()
-	for t := range j.bound {
-		if !j.isDone(t) {
-			n--
-		}
-	}
-	return max(0, n)
+	return max(0, j.spec.Tasks-j.doneCount()-j.active())
 }
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -66,7 +67,16 @@
 		})
 	}
 	if len(c.owned) > 0 && c.every("idle", units.Second) {
-		waiting := len(c.shortfalls(true)) > 0
+		short, bound := 0.0, 0.0
+		for _, s := range c.shortfalls(true) {
+			short += float64(s.n) * s.j.spec.CPUs
+		}
+		for _, u := range c.teamUsage() {
+			bound += u.cpus
+		}
+		// A few tasks that wait for a place of their own are no reason for a large
+		// fleet to keep all that it has.
+		waiting := short > bound/50
 		c.consolidate(waiting)
 		c.returnIdle(waiting)
 	}
@@ -428,13 +438,21 @@
 	return max(30*units.Second, units.FromSeconds(t.BootS*c.pol.ReturnIdle))
 }
 
-// consolidate chooses a rented machine that is little used to be emptied, when
-// the free room elsewhere takes what is on it and leaves some for newcomers.
+// atOnce is how many machines of a fleet may be on their way out together, or
+// leave in one second: a few of a small one, a small part of a large one.
+func atOnce(few, fleet int) int { return max(few, fleet/50) }
+
+// consolidate chooses rented machines that are little used to be emptied, as far
+// as the free room elsewhere takes what is on them and leaves some for newcomers.
 func (c *Core) consolidate(waiting bool) {
+	type candidate struct {
+		m     *machine
+		t     *provision.Type
+		used  float64
+		waste float64
+	}
+	var all []candidate
 	free, used := 0.0, 0.0
-	var pick *machine
-	var pickUsed float64
-	worst := 0.0
 	draining := 0
 	for _, m := range c.sortedMachines() {
 		t := c.machineType(m.doc.Type)
@@ -465,25 +483,30 @@
 			continue
 		}
 		free += t.CPUs - u
-		if waste := t.Rate(m.doc.Spot) * (1 - u/t.CPUs); c.rented(m.name) && u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second && waste > worst {
-			pick, pickUsed, worst = m, u, waste
+		if c.rented(m.name) && u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
+			all = append(all, candidate{m, t, u, t.Rate(m.doc.Spot) * (1 - u/t.CPUs)})
 		}
 	}
-	if waiting || pick == nil || draining >= 2 {
+	if waiting {
 		return
 	}
-	t := c.machineType(pick.doc.Type)
-	if free-(t.CPUs-pickUsed)-pickUsed >= max(8, c.pol.SpareShare*used) {
-		pick.rt.draining = true
-		c.log.Info("empty a machine", "machine", pick.name, "used_cpus", pickUsed, "free_elsewhere", free-(t.CPUs-pickUsed))
+	slices.SortStableFunc(all, func(x, y candidate) int { return cmp.Compare(y.waste, x.waste) })
+	for _, k := range all {
+		free -= k.t.CPUs // its own free room, and what its tasks take elsewhere
+		if draining >= atOnce(2, len(c.rep.machines)) || free < max(8, c.pol.SpareShare*used) {
+			return
+		}
+		draining++
+		k.m.rt.draining = true
+		c.log.Info("empty a machine", "machine", k.m.name, "used_cpus", k.used, "free_elsewhere", free)
 	}
 }
 
 // returnIdle gives back rented machines that have nothing to do, the dearest
 // first.
 func (c *Core) returnIdle(waiting bool) {
-	var pick *machine
-	price := 0.0
+	var idle []*machine
+	price := func(m *machine) float64 { return c.machineType(m.doc.Type).Rate(m.doc.Spot) }
 	for _, m := range c.sortedMachines() {
 		t := c.machineType(m.doc.Type)
 		if t == nil || m.rt == nil || !c.rented(m.name) {
@@ -494,15 +517,12 @@
 			m.rt.idleAt = c.now
 			continue
 		}
-		o := c.owned[m.part()]
-		if c.now-m.rt.idleAt < c.returnAfter(t) && !m.rt.draining || o == nil || o.inflight || m.rt.out > 0 {
-			continue
-		}
-		if cost := t.Rate(m.doc.Spot); cost > price {
-			pick, price = m, cost
+		if c.now-m.rt.idleAt >= c.returnAfter(t) || m.rt.draining {
+			if m.rt.out == 0 && m.rt.retire == "" {
+				idle = append(idle, m)
+			}
 		}
 	}
-	if pick != nil {
-		c.retire("idle", pick)
-	}
+	slices.SortStableFunc(idle, func(x, y *machine) int { return cmp.Compare(price(y), price(x)) })
+	c.retire("idle", idle[:min(len(idle), atOnce(1, len(c.rep.machines)))]...)
 }
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -16,6 +16,7 @@
 	committed outcome = iota
 	conflict          // a guard failed; the replica will show why
 	refused           // surely not carried out: try later
+	busy              // the same, because too much was asked at once
 )
 
 // refill gives this node its part of the permitted changes: most of them to the
@@ -34,7 +35,7 @@
 	}
 	rate := 0.2 * whole
 	if mine {
-		rate = whole * min(0.9, 1/float64(len(owners)))
+		rate = max(rate, 0.8*whole/float64(len(owners)))
 	}
 	c.tokens += rate * (c.now - c.tokensAt).Seconds()
 	// A slow store must still let a job's end through, which is several changes
@@ -101,7 +102,11 @@
 				if r.Status == 400 {
 					c.log.Error("state service calls a transaction malformed", "guards", len(txn.Guards), "ops", len(txn.Apply))
 				}
-				done(refused, 0, nil)
+				if r.Status == 429 {
+					done(busy, 0, nil)
+				} else {
+					done(refused, 0, nil)
+				}
 			}
 		})
 	}
@@ -156,9 +161,14 @@
 	c.sendConfirm()
 }
 
+// pace is the time between requests of one kind that may take such a part of
+// this node's part of the permitted requests.
+func (c *Core) pace(part float64) units.Micros {
+	return units.FromSeconds(float64(c.cfg.Settings.Size) / (c.cfg.Settings.State.RPS * part))
+}
+
 func (c *Core) sendConfirm() {
-	if len(c.confirmQ) == 0 || c.confirms >= 2 || c.confirms > 0 && c.now-c.confirmAt < 40*units.Millisecond ||
-		c.now-c.confirmAt < 10*units.Millisecond {
+	if len(c.confirmQ) == 0 || c.confirms >= 2 || c.now-c.confirmAt < max(10*units.Millisecond, c.pace(0.4)) {
 		return
 	}
 	batch := c.confirmQ
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -112,7 +112,7 @@
 		for _, t := range d.added {
 			if j := gd.c.rep.jobs[t.Job]; j != nil {
 				if x, ok := j.bound[t.Num]; ok && x.m == d.m && x.attempt == t.Attempt && !d.m.lists(keyOf(t)) {
-					delete(j.bound, t.Num)
+					j.unbind(t.Num)
 				}
 			}
 		}
@@ -406,8 +406,8 @@
 	d.gd.bytes -= taskBytes
 	d.live++
 	b.size -= taskBytes
-	addUse(b.using, &j.spec)
-	j.bound[n] = bind{d.m, t.Attempt} // taken back if the batch is not stored
+	addUse(b.using, &j.spec, 1)
+	j.bind(n, bind{d.m, t.Attempt}) // taken back if the batch is not stored
 }
 
 // retirements writes down which machines are to be given back, and drops those
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -45,7 +45,7 @@
 	maxHoles   = 200
 	minAverage = units.Second
 	firstGuess = 30 * units.Second // average task time while no job has shown any
-	planCost   = 60                // a plan is made at most once in so many microseconds for each machine and job
+	planCost   = 120               // a plan is made at most once in so many microseconds for each machine and job
 )
 
 // plan decides for one partition and writes what it decided; only when that is
@@ -102,24 +102,20 @@
 // machines, doubt and writes under way included.
 func (c *Core) teamUsage() map[string]*usage {
 	using := map[string]*usage{}
-	for _, j := range c.rep.jobs {
-		for n := range j.bound {
-			if j.known && !j.isDone(n) {
-				addUse(using, &j.spec)
-			}
-		}
+	for _, j := range c.sortedJobs() {
+		addUse(using, &j.spec, j.active())
 	}
 	return using
 }
 
-func addUse(using map[string]*usage, s *state.Job) {
+func addUse(using map[string]*usage, s *state.Job, n int) {
 	u := using[s.Team]
 	if u == nil {
 		u = &usage{}
 		using[s.Team] = u
 	}
-	u.cpus += s.CPUs
-	u.gpus += s.GPUs
+	u.cpus += s.CPUs * float64(n)
+	u.gpus += s.GPUs * float64(n)
 }
 
 // underLimit keeps the team's limit, counting everything that may be running.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -79,6 +79,7 @@
 	avgOf     int          // and of how many
 	cancelled bool
 	bound     map[int]bind // by task number: where it may be
+	live      int          // of bound, those not known to be done; -1 when that must be counted
 	part      int
 
 	// The owner's own knowledge, lost with it.
@@ -98,6 +99,28 @@
 	attempt uint64
 }
 
+// active counts the tasks that may be running.
+func (j *job) active() int {
+	if j.live < 0 {
+		j.live = 0
+		for n := range j.bound {
+			if !j.isDone(n) {
+				j.live++
+			}
+		}
+	}
+	return j.live
+}
+
+// bind notes where a task may be.
+func (j *job) bind(n int, b bind) { j.bound[n], j.live = b, -1 }
+
+// unbind notes that a task is free.
+func (j *job) unbind(n int) {
+	delete(j.bound, n)
+	j.live = -1
+}
+
 func (j *job) isDone(n int) bool { return j.extra[n] || j.done.Has(n) }
 
 func newReplica(spread int, defaultPart func(group int) int) *replica {
@@ -121,7 +144,7 @@
 func (r *replica) job(id string) *job {
 	j := r.jobs[id]
 	if j == nil {
-		j = &job{id: id, bound: map[int]bind{}}
+		j = &job{id: id, bound: map[int]bind{}, live: -1}
 		r.jobs[id] = j
 	}
 	return j
@@ -257,6 +280,7 @@
 			c.log.Error("unreadable progress", "job", id, "err", err)
 			continue
 		}
+		j.live = -1
 		j.done, j.storedAs, j.avg, j.avgOf = set, d.Ranges, units.FromSeconds(d.AvgS), d.Of
 		for n := range j.extra {
 			if set.Has(n) {
@@ -312,7 +336,7 @@
 	for _, t := range m.doc.Tasks {
 		j := c.rep.job(t.Job)
 		if b, ok := j.bound[t.Num]; ok && b.m == m && b.attempt == t.Attempt {
-			delete(j.bound, t.Num)
+			j.unbind(t.Num)
 		}
 		c.rep.tidy(j)
 	}
@@ -327,7 +351,7 @@
 		m.doc = *doc
 		for _, t := range doc.Tasks {
 			j := c.rep.job(t.Job)
-			j.bound[t.Num] = bind{m, t.Attempt}
+			j.bind(t.Num, bind{m, t.Attempt})
 			if t.Ran > 0 && !j.isDone(t.Num) {
 				c.completed(j, t.Num, units.Micros(t.Ran-1)*100*units.Millisecond)
 			}
@@ -357,7 +381,7 @@
 	if j.extra == nil {
 		j.extra = map[int]bool{}
 	}
-	j.extra[n] = true
+	j.extra[n], j.live = true, -1
 	if ran > 0 {
 		j.runSum += ran
 		j.runCount++
@@ -453,6 +477,7 @@
 func (c *Core) watch() {
 	c.rep.watchN++
 	n := c.rep.watchN
+	opened := c.now
 	c.callState(state.Request{Kind: state.Watch, Key: state.Root, Rev: c.rep.watchRev, HoldMs: 10000}, func(resp state.Response) {
 		if n != c.rep.watchN {
 			return
@@ -479,7 +504,8 @@
 				c.after(100*units.Millisecond, func() { c.rewatch(n) }) // refused: it tells nothing
 				return
 			}
-			c.watch()
+			// While much changes, one answer should tell several changes.
+			c.after(max(0, opened+c.pace(0.4)-c.now), func() { c.rewatch(n) })
 		case resp.Status == 410:
 			c.log.Warn("watch lost its place, loading anew")
 			c.load()
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -65,9 +65,11 @@
 // the class may wait for its start.
 func (c *Core) fetchTooSlow(j *job, m *machine) bool {
 	t := c.machineType(m.doc.Type)
+	// The rate may be a third lower, and a third is left for what comes before
+	// and after the fetch.
 	for _, o := range c.cfg.Settings.Objectives {
 		if o.Kind == "wait" && o.Class == j.spec.Class && t != nil && t.FetchGBs > 0 {
-			return j.spec.ImageGB/t.FetchGBs > o.WithinS*0.8
+			return j.spec.ImageGB/t.FetchGBs > o.WithinS/2
 		}
 	}
 	return false
@@ -198,9 +200,9 @@
 			if j == nil || !j.known || !j.spec.Service || !c.wanted(t) || !runs || c.now-run.at < restFor || !b.room(d.gd) {
 				continue
 			}
-			delete(j.bound, t.Num) // it does not stand in its own way
+			j.unbind(t.Num) // it does not stand in its own way
 			to := b.choose(j)
-			j.bound[t.Num] = bind{d.m, t.Attempt}
+			j.bind(t.Num, bind{d.m, t.Attempt})
 			if to == nil || !to.has(j.spec.Image) || c.rented(to.m.name) && to.live == 0 {
 				continue
 			}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -261,6 +261,8 @@
 				c.answer(a.to, 201, &Status{ID: a.job.ID, Stage: Pending})
 			case res == refused:
 				c.answer(a.to, 503, nil)
+			case res == busy: // a moment later it may be taken
+				c.accepts = append(c.accepts, a)
 			case slices.Contains(failed, state.Finals+a.job.ID): // over already
 				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
 			default:
@@ -341,6 +343,12 @@
 			if _, open := c.open[q.To]; open {
 				c.current(q.ID, func(st *Status, ok bool) { c.decide(q, st, ok) })
 			}
+		case busy:
+			c.after(150*units.Millisecond, func() {
+				if _, open := c.open[q.To]; open {
+					c.cancel(q)
+				}
+			})
 		default:
 			c.answer(q.To, 503, nil)
 		}
