--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -314,6 +314,14 @@
 			d.fixed += cpus
 		}
 	}
+	// Work that may use spot machines and runs on others gives way to what may
+	// not: it is room for the former that is lacking then.
+	moved := 0.0
+	if c.pol.Spot {
+		moved = min(d.fixed, c.displaceable())
+	}
+	d.fixed -= moved
+	d.any += moved
 	ordinary, spot := c.coming()
 	d.any -= spot
 	d.fixed -= ordinary
@@ -325,6 +333,23 @@
 	return d
 }
 
+// displaceable is the room on ordinary machines of work that could as well be on
+// spot machines.
+func (c *Core) displaceable() float64 {
+	sum := 0.0
+	for _, m := range c.rep.machines {
+		if m.doc.Spot || m.doc.Retired {
+			continue
+		}
+		for _, t := range m.doc.Tasks {
+			if j := c.unstored(t); j != nil && j.spec.Spot && !j.spec.Service {
+				sum += j.spec.CPUs
+			}
+		}
+	}
+	return sum
+}
+
 // rent asks for machines for waiting tasks, in several requests a round when
 // much is wanted, each for the offer that is best then.
 func (c *Core) rent() {
@@ -483,7 +508,7 @@
 			continue
 		}
 		free += t.CPUs - u
-		if c.rented(m.name) && u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
+		if u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
 			all = append(all, candidate{m, t, u, t.Rate(m.doc.Spot) * (1 - u/t.CPUs)})
 		}
 	}
@@ -509,7 +534,7 @@
 	price := func(m *machine) float64 { return c.machineType(m.doc.Type).Rate(m.doc.Spot) }
 	for _, m := range c.sortedMachines() {
 		t := c.machineType(m.doc.Type)
-		if t == nil || m.rt == nil || !c.rented(m.name) {
+		if t == nil || m.rt == nil {
 			continue
 		}
 		used := slices.ContainsFunc(m.doc.Tasks, func(t state.Task) bool { return c.unstored(t) != nil })
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -23,6 +23,7 @@
 	cloudWithin  = 5 * time.Second
 	workerWithin = 1500 * time.Millisecond
 	holdExtra    = 3 * time.Second
+	workerIdle   = 4 * time.Second
 )
 
 // clients makes the calls. Nothing is ever repeated here: whether a request
@@ -35,6 +36,7 @@
 
 	mu       sync.Mutex
 	machines map[string]*fasthttp.HostClient
+	calling  chan struct{} // holds one for each call of a worker that is under way
 }
 
 func newClients(n *Node) *clients {
@@ -44,6 +46,9 @@
 		watches:  hostClient(n.cfg.Outside.State, 8),
 		provider: hostClient(n.cfg.Outside.Cloud, 6),
 		machines: map[string]*fasthttp.HostClient{},
+		// A take-over asks a thousand machines at once, while as many report and
+		// users ask: together they must stay below the socket limit.
+		calling: make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/8)),
 	}
 }
 
@@ -138,6 +143,8 @@
 func (c *clients) worker(e core.WorkerCall) {
 	d := core.WorkerDone{ID: e.ID}
 	var r workers.Report
+	c.calling <- struct{}{}
+	defer func() { <-c.calling }()
 	h := c.machine(e.Addr)
 	if e.Cmd == nil {
 		d.Status = do(h, "GET", "/inspect", nil, workerWithin, &r)
@@ -166,6 +173,7 @@
 			}
 		}
 		h = hostClient(addr, 3)
+		h.MaxIdleConnDuration = workerIdle
 		c.machines[addr] = h
 	}
 	return h
