A machine that the list no longer has is gone, also for an owner that hears none

Cause: the owner of a lone dead machine heard nothing at all, took that for its own fault, and kept it for ever; a service waited for it until the end.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -26,6 +26,7 @@
 	hireN    int
 	cool     map[string]units.Micros // offers that were refused: not before
 	deleting bool
+	doubtAt  units.Micros // when most machines were last silent: the list may tell why
 	chargeAt units.Micros // since when this node has this duty; 0: not
 	spareAt  map[string]units.Micros
 	strayAt  map[string]units.Micros
@@ -83,7 +84,11 @@
 	if c.every("delete", 200*units.Millisecond) {
 		c.deleteRetired()
 	}
-	if c.owned[0] == nil || !c.usable(0) || len(k.types) == 0 {
+	keeper := c.owned[0] != nil && c.usable(0) && len(k.types) > 0
+	if !k.listing && (keeper || c.now-k.doubtAt < 10*units.Second && k.doubtAt > 0) && c.every("list", 4*units.Second) {
+		c.list("", map[string]provision.Listed{}, c.now)
+	}
+	if !keeper {
 		k.chargeAt = 0
 		return
 	}
@@ -92,9 +97,6 @@
 		k.hires = map[string]*hire{}
 		k.listed, k.listAt = map[string]provision.Listed{}, 0
 	}
-	if !k.listing && c.every("list", 4*units.Second) {
-		c.list("", map[string]provision.Listed{}, c.now)
-	}
 	if c.every("hire", units.Second) {
 		c.settleHires()
 		c.rent()
@@ -128,6 +130,10 @@
 // machines that never come up are returned.
 func (c *Core) readList() {
 	k := &c.cloud
+	c.unlisted()
+	if k.chargeAt == 0 {
+		return // another rents and returns
+	}
 	var stray []string
 	for _, name := range slices.Sorted(maps.Keys(k.listed)) {
 		l, m := k.listed[name], c.rep.machines[name]
@@ -173,6 +179,20 @@
 	})
 }
 
+// unlisted retires silent machines that a complete list no longer has, though
+// they have been up for longer than a list can lag: that is the cloud's word. An
+// owner none of whose machines it hears has no other way to tell whether they,
+// or its own network, are gone.
+func (c *Core) unlisted() {
+	settle := units.FromSeconds(4*c.cfg.Settings.Cloud.ListLagS) + 5*units.Second
+	for _, m := range c.sortedMachines() {
+		if _, ok := c.cloud.listed[m.name]; ok || m.rt == nil || c.now-m.rt.since < settle || c.now-max(m.rt.heardAt, m.rt.since) < settle {
+			continue
+		}
+		c.retire("not in the list", m)
+	}
+}
+
 // heardLately reports whether a machine that is not entered yet reports here or
 // to another controller: it is not silent, only the store is slow.
 func (c *Core) heardLately(name string) bool {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -589,6 +589,9 @@
 	if hearing == 0 && total > 0 {
 		c.handOverDeaf()
 	}
+	if len(silent) > 0 && hearing*2 < total {
+		c.cloud.doubtAt = c.now
+	}
 	// This node's own silence is no evidence. Most machines must be heard here,
 	// and every living controller must say that it does not hear the machine.
 	if len(silent)+len(deaf) == 0 || hearing*2 < total || !c.every("retire", units.Second) {
