--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"frostdock.example/frostdock/internal/state"
 	"frostdock.example/frostdock/internal/units"
@@ -60,6 +61,9 @@
 // been applied. So done is called exactly once, with the truth.
 func (c *Core) commit(txn *state.Txn, mark string, done func(outcome, uint64, []string)) {
 	c.tokens -= float64(len(txn.Apply))
+	for _, op := range txn.Apply {
+		c.written[kindOf(op.Set+op.Delete)]++
+	}
 	unclear := false
 	var try func()
 	settle := func(rev uint64) {
@@ -113,6 +117,16 @@
 	try()
 }
 
+// kindOf is what a key holds, as the log calls it.
+func kindOf(key string) string {
+	for prefix, kind := range map[string]string{state.Groups: "groups", state.Shelves: "shelves", state.Progress: "progress", state.Finals: "ends"} {
+		if strings.HasPrefix(key, prefix) {
+			return kind
+		}
+	}
+	return "other"
+}
+
 // look reads whether a transaction whose fate was unclear has been applied.
 func (c *Core) look(txn *state.Txn, mark string, done func(bool, uint64)) {
 	key := ""
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,9 +47,10 @@
 	writing  map[string]bool // keys in a batch that is not yet answered
 
 	// State service.
-	stateOK    units.Micros // when it last answered
-	stateBad   bool         // it refused or failed since
-	tokens     float64      // changes this node may still make
+	stateOK    units.Micros   // when it last answered
+	stateBad   bool           // it refused or failed since
+	written    map[string]int // changes since the last summary, by what they change
+	tokens     float64        // changes this node may still make
 	tokensAt   units.Micros
 	tokensMost float64 // that may be saved up
 	confirmQ   []confirm
@@ -90,7 +91,7 @@
 		cfg: cfg, pol: pol, log: log.With("node", cfg.Member),
 		stateCalls: map[uint64]func(state.Response){}, cloudCalls: map[uint64]func(CloudDone){}, cmdCalls: map[uint64]func(WorkerDone){},
 		incBase: inc, inc: inc, owned: map[int]*own{}, writing: map[string]bool{},
-		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*entry{},
+		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*entry{}, written: map[string]int{},
 		cloud: newCloudState(), lastAt: map[string]units.Micros{},
 	}
 	for _, t := range cfg.Settings.Teams {
@@ -278,7 +279,8 @@
 	}
 	c.log.Info("summary", "partitions", c.ownedParts(), "rev", c.rep.watchRev, "state_ok", c.stateFine(),
 		"jobs", jobs, "services", services, "tasks_waiting", waiting, "tasks_bound", bound,
-		"machines", len(c.rep.machines), "machines_mine", mine, "requests_open", len(c.open))
+		"machines", len(c.rep.machines), "machines_mine", mine, "requests_open", len(c.open), "written", c.written)
+	c.written = map[string]int{}
 }
 
 func (c *Core) stateFine() bool { return !c.stateBad && c.now-c.stateOK < 3*units.Second }
