Progress flushed by document, machine kinds written once, tasks queue behind others

Jobs that share a document are flushed together; a group lists its machines' types once, so 96 documents do for 128; while little is free, tasks are entered behind those that end soon and launched the moment the room is there.

--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -81,8 +81,15 @@
 		byID[j.id] = j
 	}
 	results := placement.Shares(list, room)
-	b.pickGroups()
-	for pass := 0; pass < 2; pass++ {
+	queue := b.pickGroups()
+	passes := 2
+	if queue {
+		passes = 3
+	}
+	for pass := range passes {
+		if pass == 2 {
+			b.lookAhead()
+		}
 		for _, r := range results {
 			j := byID[r.ID]
 			j.share = r.Share
@@ -119,37 +126,60 @@
 	}
 }
 
+// lookAhead counts the room of tasks that are about to end as free. What is
+// entered there is launched the moment that room is free, without waiting for
+// the next write of the group; it is lost to nobody, since whatever ranks higher
+// goes first.
+func (b *batch) lookAhead() {
+	for _, d := range b.drafts {
+		if d.gd.own && (d.gd.picked || d.gd.changed) && d.live > 0 {
+			d.gap.cpus += d.soon.cpus
+			d.gap.gpus += d.soon.gpus
+			d.gap.mem += d.soon.mem
+		}
+	}
+}
+
 // pickGroups chooses the groups that arrays may use in this batch. While changes
-// are scarce, each must start as much as it can: the groups with the most free
-// room come first.
-func (b *batch) pickGroups() {
+// are scarce, each must start as much as it can: the groups with the most room,
+// now or soon, come first. It reports whether tasks should also queue behind
+// those that end soon, since little else is free.
+func (b *batch) pickGroups() (queue bool) {
 	type roomy struct {
-		gd   *groupDraft
-		free float64
+		gd         *groupDraft
+		free, soon float64
 	}
 	var all []roomy
 	for _, gd := range b.groups {
 		if gd.changed || !gd.own && b.busy[gd.g.part] {
 			continue
 		}
-		free := 0.0
+		r := roomy{gd: gd}
 		for _, d := range gd.drafts {
 			if d.usable {
-				free += d.cpus
+				r.free += max(0, d.cpus)
+				r.soon += max(0, d.cpus+d.soon.cpus) - max(0, d.cpus)
 			}
 		}
-		if free > 0 {
-			all = append(all, roomy{gd, free})
+		if r.free+r.soon > 0 {
+			all = append(all, r)
 		}
 	}
 	if len(all) <= b.ops {
-		return
+		return false
 	}
-	slices.SortStableFunc(all, func(x, y roomy) int { return cmp.Compare(y.free, x.free) })
+	slices.SortStableFunc(all, func(x, y roomy) int { return cmp.Compare(y.free+y.soon, x.free+x.soon) })
 	b.picked = true
-	for _, r := range all[:max(0, b.ops)] {
-		r.gd.picked = true
+	soon, left := 0.0, 0.0
+	for i, r := range all {
+		if i < b.ops {
+			r.gd.picked = true
+			soon += r.soon
+		} else {
+			left += r.free
+		}
 	}
+	return left < soon
 }
 
 var gradeNames = [...]string{"best_effort", "standard", "urgent", "production"}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -420,6 +420,7 @@
 func (c *Core) bestOffer(short []shortfall, spotJobs bool) *provision.Hire {
 	var pick *provision.Hire
 	bestCost := math.Inf(1)
+	image := imageOf(short, spotJobs)
 	for i := range c.cloud.types {
 		t := &c.cloud.types[i]
 		for _, z := range t.Zones {
@@ -431,7 +432,7 @@
 				if spot && !spotJobs || c.now < c.cloud.cool[offerKey(h)] {
 					continue
 				}
-				cost := t.Rate(spot) / t.CPUs
+				cost := t.Rate(spot) / t.CPUs * c.idleness(t, image)
 				if spot {
 					cost *= 1.3 // it may be taken back
 				}
@@ -444,6 +445,35 @@
 	return pick
 }
 
+// rentedFor is how long a rented machine is kept, roughly, and freshImages how
+// many images it fetches before it has those that are asked for most.
+const (
+	rentedFor   = 300.0 // seconds
+	freshImages = 3
+)
+
+// idleness is how much dearer a machine is than its price says, because it is
+// paid for while it boots and fetches its first images.
+func (c *Core) idleness(t *provision.Type, imageGB float64) float64 {
+	fetch := 0.0
+	if t.FetchGBs > 0 {
+		fetch = freshImages * imageGB / t.FetchGBs
+	}
+	return 1 + (t.BootS+fetch)/rentedFor
+}
+
+// imageOf is the size of the images of the tasks that wait, on average.
+func imageOf(short []shortfall, spotJobs bool) float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range short {
+		if s.j.spec.Spot == spotJobs {
+			sum += s.j.spec.ImageGB * float64(s.n)
+			n += float64(s.n)
+		}
+	}
+	return sum / max(n, 1)
+}
+
 // wantedIn reports whether a waiting job fits the type in the zone.
 func (c *Core) wantedIn(short []shortfall, t *provision.Type, zone string, spotJobs bool) bool {
 	return slices.ContainsFunc(short, func(s shortfall) bool {
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -36,7 +36,7 @@
 	}
 	rate := 0.2 * whole
 	if mine {
-		rate = max(rate, 0.8*whole/float64(len(owners)))
+		rate = max(rate, 0.88*whole/float64(len(owners)))
 	}
 	c.tokens += rate * (c.now - c.tokensAt).Seconds()
 	// A slow store must still let a job's end through, which is several changes
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -38,6 +38,7 @@
 	fence  bool
 	retire bool
 	live   int             // tasks that may be active
+	soon   gap             // room of array tasks that are about to end
 	images []string        // what a foreign machine's commander says of its images
 	stops  map[taskKey]int // tasks that are to be stopped, and how
 }
@@ -243,7 +244,7 @@
 			}
 			e := c.entering[name]
 			r := &e.q.Report
-			doc := state.Machine{Name: name, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+			doc := state.Machine{Name: name, Addr: r.Addr, MachineKind: state.MachineKind{Type: r.Type, Zone: r.Zone, Spot: r.Spot}}
 			// A machine that had an entry before may have seen higher tokens.
 			if seen := e.token >> 31; seen >= gd.g.handover {
 				doc.Handover = seen - gd.g.handover + 1
@@ -281,6 +282,9 @@
 		if active {
 			d.live++
 			d.gap.fill(&j.spec, 1)
+			if own && c.endsSoon(m, j, task) {
+				d.soon.fill(&j.spec, -1)
+			}
 		}
 	}
 	if !own {
@@ -296,6 +300,21 @@
 	}
 }
 
+// queueAhead is how long before its expected end a task's room may be given to
+// the next one.
+const queueAhead = 6 * units.Second
+
+// endsSoon reports whether an array task that runs on m is expected to end
+// within moments, by what has been observed of its job.
+func (c *Core) endsSoon(m *machine, j *job, t state.Task) bool {
+	run, ok := m.rt.runs[keyOf(t)]
+	if !ok || j.spec.Service {
+		return false
+	}
+	avg, _ := j.average()
+	return avg > 0 && c.now-run.at > avg-queueAhead
+}
+
 func (m *machine) lists(k taskKey) bool {
 	for _, t := range m.doc.Tasks {
 		if keyOf(t) == k {
@@ -375,8 +394,10 @@
 		switch {
 		case j.spec.Service && !c.rented(d.m.name):
 			score += 300
+		case !j.spec.Service && d.m.doc.Spot && j.spec.CkptS > 0:
+			score += 300 // it loses little when the machine is taken back
 		case !j.spec.Service && d.m.doc.Spot:
-			score += 300
+			score += 100
 		case !j.spec.Service && c.rented(d.m.name):
 			score += 150
 		}
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -10,7 +10,7 @@
 
 // flushEvery is how long a job's progress may wait for others while changes are
 // scarce. Nothing is reaped before its end is stored, so nothing is lost.
-const flushEvery = 4 * units.Second
+const flushEvery = 8 * units.Second
 
 // finishJobs stores ends and progress of the partition's jobs, and clears away
 // the cancelled ones.
@@ -33,17 +33,24 @@
 	if c.tokens > c.tokensMost/2 {
 		every = 0
 	}
-	most := b.ops / 2 // the rest is for what waits to start
+	least := b.ops - b.ops/2 // the rest is for what waits to start
+	var open []*job
 	for _, j := range jobs {
-		if len(j.extra) == 0 || j.cancelled || j.doneCount() == j.spec.Tasks || !b.packs.edited(j) && c.now-j.flushAt < every {
+		if len(j.extra) == 0 || j.cancelled || j.doneCount() == j.spec.Tasks {
 			continue
 		}
-		before := b.ops
-		if !b.packs.edited(j) && most < 1 {
-			continue
+		if j.flushAt == 0 {
+			j.flushAt = c.now
+		}
+		open = append(open, j)
+		if c.now-j.flushAt >= every && !b.packs.edited(j) && b.ops > least {
+			b.flush(j)
+		}
+	}
+	for _, j := range open { // what stands in the same documents goes with them
+		if b.packs.edited(j) && j.flushAt < c.now {
+			b.flush(j)
 		}
-		b.flush(j)
-		most -= before - b.ops
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -386,7 +386,18 @@
 	// is launched once that room is free.
 	room := c.freeNow(m)
 	listed := make(map[taskKey]bool, len(m.doc.Tasks))
-	for _, t := range m.doc.Tasks {
+	// Whatever is entered may be waiting for room: what ranks higher has it first.
+	grade := func(t state.Task) int {
+		if j := c.rep.jobs[t.Job]; j != nil {
+			return j.spec.Grade
+		}
+		return 0
+	}
+	tasks := slices.Clone(m.doc.Tasks)
+	slices.SortStableFunc(tasks, func(a, b state.Task) int {
+		return cmp.Or(cmp.Compare(grade(b), grade(a)), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	for _, t := range tasks {
 		k := keyOf(t)
 		p, there := rt.pieces[k]
 		if c.wanted(t) {
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -17,8 +17,10 @@
 package state
 
 import (
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -40,8 +42,8 @@
 
 // Spread is how many documents the machines, and the jobs, are spread over. It
 // follows from how large a value may be, so that a thousand machines with eight
-// tasks each fill less than half of what there is.
-func Spread(valueKB float64) int { return max(8, min(256, int(512/valueKB))) }
+// tasks each fill about half of what there is.
+func Spread(valueKB float64) int { return max(8, min(256, int(384/valueKB))) }
 
 // GroupOf is the group that a machine stands in. Names are numbered in order of
 // creation, so machines of one type, rented together, end up in many groups.
@@ -102,22 +104,64 @@
 // Group is some machines of one partition. It is written before any command to
 // launch, so that who takes over needs no guess.
 type Group struct {
-	Part     int       `json:"p"`
-	Handover uint64    `json:"h,omitempty"` // how often it changed partitions
-	Machines []Machine `json:"m,omitempty"`
-	Mark     string    `json:"w,omitempty"`
+	Part     int           `json:"p"`
+	Handover uint64        `json:"h,omitempty"` // how often it changed partitions
+	Kinds    []MachineKind `json:"k,omitempty"` // that its machines refer to
+	Machines []Machine     `json:"m,omitempty"`
+	Mark     string        `json:"w,omitempty"`
+}
+
+// MachineKind is what many machines have in common, and is written once for all of
+// them.
+type MachineKind struct {
+	Type string `json:"y"`
+	Zone string `json:"z"`
+	Spot bool   `json:"s,omitempty"`
+}
+
+// plainGroup is a Group without its methods.
+type plainGroup Group
+
+// MarshalJSON lists the kinds of the machines.
+func (g Group) MarshalJSON() ([]byte, error) {
+	out := plainGroup(g)
+	out.Kinds, out.Machines = nil, slices.Clone(g.Machines)
+	for i := range out.Machines {
+		m := &out.Machines[i]
+		if m.Ref = slices.Index(out.Kinds, m.MachineKind); m.Ref < 0 {
+			m.Ref = len(out.Kinds)
+			out.Kinds = append(out.Kinds, m.MachineKind)
+		}
+	}
+	return json.Marshal(out)
+}
+
+// UnmarshalJSON gives the machines their kinds.
+func (g *Group) UnmarshalJSON(raw []byte) error {
+	var in plainGroup
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return fmt.Errorf("group: %w", err)
+	}
+	for i := range in.Machines {
+		m := &in.Machines[i]
+		if m.Ref < 0 || m.Ref >= len(in.Kinds) {
+			return fmt.Errorf("group: machine %s is of no kind", m.Name)
+		}
+		m.MachineKind = in.Kinds[m.Ref]
+	}
+	*g = Group(in)
+	return nil
 }
 
 // Machine lists all that may be on a machine.
 type Machine struct {
-	Name     string `json:"n"`
-	Addr     string `json:"a"`
-	Type     string `json:"y"`
-	Zone     string `json:"z"`
-	Spot     bool   `json:"s,omitempty"`
-	Handover uint64 `json:"h,omitempty"` // how often its token was raised for itself
-	Retired  bool   `json:"r,omitempty"` // to be given back: it gets nothing more
-	Tasks    Tasks  `json:"t,omitempty"`
+	Name        string `json:"n"`
+	Addr        string `json:"a"`
+	MachineKind `json:"-"`
+	Ref         int    `json:"k"`           // its kind, among those of the group
+	Handover    uint64 `json:"h,omitempty"` // how often its token was raised for itself
+	Retired     bool   `json:"r,omitempty"` // to be given back: it gets nothing more
+	Tasks       Tasks  `json:"t,omitempty"`
 }
 
 // BaseDoc names the first machine that was rented by this service: names are in
