Machines that begin to count anew are noticed; the silent are found and returned sooner

A machine that was started again counts its reports from one: they were passed over as late copies until they had caught up (scenario reboot, seen failing: not up). The answer to a question asked just now is no late copy, and tells.

Silent: two unanswered questions after 1.3 report periods, where it was one after two; a command that is not answered is followed by a question at once. Machines whose tasks wait are deleted without being marked first, which saves a write for each group.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -140,7 +140,7 @@
 		if m != nil {
 			delete(k.strayAt, name)
 			if l.State == provision.Failed && m.rt != nil && c.now-m.rt.heardAt > c.cfg.Settings.Report()*2 {
-				c.retire("failed in the list", m)
+				c.giveUp("failed in the list", m)
 			}
 			continue
 		}
@@ -189,7 +189,7 @@
 		if _, ok := c.cloud.listed[m.name]; ok || m.rt == nil || c.now-m.rt.since < settle || c.now-max(m.rt.heardAt, m.rt.since) < settle {
 			continue
 		}
-		c.retire("not in the list", m)
+		c.giveUp("not in the list", m)
 	}
 }
 
@@ -209,7 +209,7 @@
 	}
 	var names []string
 	for _, m := range c.sortedMachines() {
-		if m.doc.Retired && !m.gone && c.usable(m.g.part) && len(names) < mostDeletes {
+		if (m.doc.Retired || m.rt != nil && m.rt.urgent) && !m.gone && c.usable(m.g.part) && len(names) < mostDeletes {
 			names = append(names, m.name)
 		}
 	}
@@ -226,7 +226,7 @@
 		c.log.Info("machines gone", "machines", names)
 		c.dirty = true
 		for _, n := range names {
-			if m := c.rep.machines[n]; m != nil && m.doc.Retired {
+			if m := c.rep.machines[n]; m != nil {
 				m.gone = true // the next write of its group drops it
 			}
 		}
@@ -568,7 +568,7 @@
 	slices.SortStableFunc(all, func(x, y candidate) int { return cmp.Compare(y.waste, x.waste) })
 	for _, k := range all {
 		free -= k.t.CPUs // its own free room, and what its tasks take elsewhere
-		if draining >= atOnce(2, len(c.rep.machines)) || free < max(8, c.pol.SpareShare*used) {
+		if draining >= atOnce(2, 5*len(c.rep.machines)/2) || free < max(8, c.pol.SpareShare*used) {
 			return
 		}
 		draining++
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -441,7 +441,7 @@
 			}
 			if d.m.gone {
 				b.touch(gd)
-			} else if d.m.rt != nil && d.m.rt.retire != "" && !d.m.doc.Retired {
+			} else if d.m.rt != nil && d.m.rt.retire != "" && !d.m.rt.urgent && !d.m.doc.Retired {
 				b.touch(gd)
 				d.retire, d.usable = true, false
 			}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -68,10 +68,12 @@
 	probing  bool
 	probeAt  units.Micros
 	probeBad units.Micros // when a probe last failed
+	failed   int          // probes in a row that failed, with no report between
 	sick     bool
 	idleAt   units.Micros
 	leaving  map[taskKey]bool // entries that a write under way takes off the document
 	draining bool             // takes no new work, so that it can be given back
+	urgent   bool             // it is deleted before that is written down
 	retire   string           // why it is to be given back; empty: it is not
 }
 
@@ -262,7 +264,7 @@
 		c.log.Info("machine in a new session", "machine", m.name, "session", r.Session)
 		rt.runs = map[taskKey]runMark{}
 	}
-	rt.session, rt.seq, rt.heardAt = r.Session, r.Seq, c.now
+	rt.session, rt.seq, rt.heardAt, rt.failed = r.Session, r.Seq, c.now, 0
 	// Its session was alive when it reported, and may have begun just then: what
 	// was known of the end of an earlier one says nothing about this one.
 	l := c.cfg.Settings.Lease()
@@ -535,6 +537,7 @@
 		return
 	}
 	rt.probing = true
+	session, seq := rt.session, rt.seq
 	id := c.id()
 	c.cmdCalls[id] = func(d WorkerDone) {
 		if m.rt != rt {
@@ -543,9 +546,18 @@
 		rt.probing = false
 		if d.Report == nil || d.Report.Machine != m.name {
 			rt.probeBad = c.now
+			rt.failed++
 			return
 		}
 		rt.probeBad = 0
+		if !d.Report.Newer(session, seq) && rt.session == session && rt.seq == seq {
+			// An answer to what was asked just now is no late copy: the machine has
+			// begun to count anew, so it was started again and all that it had is
+			// gone. Its reports would be passed over for ever otherwise.
+			c.log.Info("machine started again", "machine", m.name)
+			rt.session, rt.seq, rt.seen = 0, 0, 0
+			rt.runs = map[taskKey]runMark{}
+		}
 		c.observe(m, d.Report)
 		c.poke(m)
 	}
@@ -570,19 +582,20 @@
 			continue
 		}
 		last := max(m.rt.heardAt, m.rt.since-report) // a new owner asks at once, and need not wait as long
+		overdue := c.now-last > report*13/10
 		if c.now-last < report*3/2 {
 			hearing++
 			if m.rt.seen < c.token(m) && m.rt.heardAt > 0 {
 				c.poke(m) // raise its token, so that absence can prove something
 			}
-			continue
 		}
-		// The report is overdue: ask the machine itself, and again.
-		if c.now-m.rt.probeAt > units.Second {
+		// The report is overdue, or a command was not answered: ask the machine
+		// itself, and again.
+		if (overdue || m.rt.unclear) && c.now-m.rt.probeAt > units.Second {
 			m.rt.probeAt = c.now
 			c.inspect(m)
 		}
-		if c.now-last > 2*report && m.rt.probeBad > last {
+		if overdue && m.rt.failed >= 2 {
 			silent = append(silent, m)
 		}
 	}
@@ -595,7 +608,7 @@
 		}
 	}
 	if len(taken) > 0 {
-		c.retire("taken back", taken...)
+		c.giveUp("taken back", taken...)
 	}
 	if hearing == 0 && total > 0 {
 		c.handOverDeaf()
@@ -614,8 +627,8 @@
 			gone = append(gone, m)
 		}
 	}
-	c.retire("silent", gone...)
-	c.retire("nothing reaches it", deaf...)
+	c.giveUp("silent", gone...)
+	c.giveUp("nothing reaches it", deaf...)
 }
 
 // handOverDeaf gives a partition none of whose machines are heard here to a
@@ -686,10 +699,17 @@
 // retire marks machines to be returned to the cloud; the next write of their
 // group says so. Their tasks stay bound until the cloud has confirmed that they
 // are gone.
-func (c *Core) retire(why string, ms ...*machine) {
+func (c *Core) retire(why string, ms ...*machine) { c.leave(why, false, ms) }
+
+// giveUp returns machines whose tasks wait to be placed anew. They are deleted
+// without being marked first: nothing is placed on a machine that is not heard,
+// and what a controller that is behind still enters there is dropped with it.
+func (c *Core) giveUp(why string, ms ...*machine) { c.leave(why, true, ms) }
+
+func (c *Core) leave(why string, atOnce bool, ms []*machine) {
 	for _, m := range ms {
 		if m.rt != nil && m.rt.retire == "" {
-			m.rt.retire = why
+			m.rt.retire, m.rt.urgent = why, atOnce
 			c.dirty = true
 			c.log.Info("retire a machine", "machine", m.name, "why", why, "tasks", c.unfinished(m), "partition", m.g.part)
 		}
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -61,7 +61,7 @@
 		case 8:
 			fmt.Fprintf(&b, "at %.1f sick busiest for=%.1f\n", at, d)
 		case 9:
-			fmt.Fprintf(&b, "at %.1f %s busiest for=%.1f\n", at, pick("die", "notice", "take"), d)
+			fmt.Fprintf(&b, "at %.1f %s busiest for=%.1f\n", at, pick("die", "notice", "take", "reboot"), d)
 		case 10:
 			fmt.Fprintf(&b, "at %.1f cut n-00000%d * for=%.1f mode=deaf\n", at, 1+rng.IntN(5), d*2)
 		case 11: // workers are all that this controller reaches
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -267,7 +267,7 @@
 	case "cloud_outage":
 		w.cloud.down = true
 		w.after(length, func() { w.cloud.down = false })
-	case "die", "hang", "sick", "slow", "take", "notice":
+	case "die", "hang", "sick", "slow", "take", "notice", "reboot":
 		k := w.pick(a.str(0))
 		if k == nil {
 			return fmt.Errorf("no machine %q", a.str(0))
@@ -317,6 +317,11 @@
 		w.after(length, func() { k.sick = false })
 	case "slow":
 		k.slow = a.num("factor", 4)
+	case "reboot": // back at once, with nothing on it and its counts begun anew
+		for _, t := range k.sorted() {
+			k.drop(t)
+		}
+		k.session, k.seq, k.token, k.answered, k.changed = 1, 0, 0, w.now, true
 	case "take":
 		w.cloud.remove(k.name)
 	case "notice":
