--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -147,7 +147,7 @@
 // claims takes partitions that nobody living owns, and gives one away when
 // another has none.
 func (c *Core) claims() {
-	if !c.rep.synced || !c.alive || !c.fresh() || c.tokens < 1 || c.stateBad {
+	if !c.rep.synced || !c.alive || !c.fresh() || !c.mayOwe() || c.stateBad {
 		return
 	}
 	c.dropOldSelves()
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -46,6 +46,11 @@
 	c.tokensAt = c.now
 }
 
+// mayOwe reports whether what goes before the rest may still be written. Accepts
+// and claims may run up a debt of one second's changes, which everything else has
+// to wait for.
+func (c *Core) mayOwe() bool { return c.tokens >= -c.cfg.Settings.State.WriteRPS }
+
 func encode(v any) json.RawMessage {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -101,7 +106,7 @@
 				c.after(200*units.Millisecond, try)
 			default:
 				if r.Status == 429 {
-					c.tokens = -1
+					c.tokens = min(c.tokens, -1)
 				}
 				if r.Status == 400 {
 					c.log.Error("state service calls a transaction malformed", "guards", len(txn.Guards), "ops", len(txn.Apply))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,7 +62,8 @@
 	open      map[uint64]units.Micros // when each is given up
 	accepts   []accept
 	accepting bool
-	acceptRev uint64 // the replica must have come this far before the next accepts
+	acceptAt  units.Micros // when the store may take more
+	acceptRev uint64       // the replica must have come this far before the next accepts
 
 	// Others.
 	teamParts []int // partitions that have teams
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -638,7 +638,7 @@
 	report := c.cfg.Settings.Report()
 	for _, p := range c.ownedParts() {
 		o := c.owned[p]
-		if o.inflight || c.now-o.since < 3*report || c.tokens < 1 || c.stateBad {
+		if o.inflight || c.now-o.since < 3*report || !c.mayOwe() || c.stateBad {
 			continue
 		}
 		for _, l := range c.living() {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -183,7 +183,7 @@
 // sendAccepts stores waiting submissions, as many as one transaction takes. Each
 // controller begins at shelves of its own, so that they seldom meet.
 func (c *Core) sendAccepts() {
-	if len(c.accepts) == 0 || c.accepting || c.rep.watchRev < c.acceptRev || c.tokens < 1 {
+	if len(c.accepts) == 0 || c.accepting || c.rep.watchRev < c.acceptRev || !c.mayOwe() || c.now < c.acceptAt {
 		return
 	}
 	byShelf := map[*shelf][]accept{}
@@ -205,7 +205,7 @@
 		if len(wait) == 0 {
 			continue
 		}
-		if c.writing[s.key] || len(txn.Apply) >= min(c.cfg.Settings.State.TxnOps, int(c.tokens)) || size > txnBytes/2 {
+		if c.writing[s.key] || len(txn.Apply) >= c.cfg.Settings.State.TxnOps || size > txnBytes/2 {
 			c.accepts = append(c.accepts, wait...)
 			continue
 		}
@@ -252,6 +252,9 @@
 	c.commit(txn, mark, func(res outcome, rev uint64, failed []string) {
 		c.accepting = false
 		c.writeKeys(txn, false)
+		if res == busy {
+			c.acceptAt = c.now + 150*units.Millisecond
+		}
 		if res == conflict {
 			c.acceptRev = rev // the shelves as they now are must be seen first
 		}
