Progress may wait 20 s, ended jobs leave it later, groups of no use are passed on

The partition with the work spent half its changes on progress, and half the machines were commanded by the other, which wrote a group for each end.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -100,7 +100,7 @@
 	return max(0, int((t.CPUsMax-used)/j.spec.CPUs+1e-9))
 }
 
-// passOn hands idle groups to the partitions that lack room.
+// passOn hands groups that are of no use here to the partition that lacks room.
 func (c *Core) passOn(b *batch) {
 	if !c.every("pass"+strconv.Itoa(b.o.n), 500*units.Millisecond) {
 		return
@@ -122,25 +122,39 @@
 	if to < 0 {
 		return
 	}
+	passed := 0
 	for _, gd := range b.groups {
-		if !gd.own || gd.changed || !b.room(gd) || lack[to] <= 0 || !c.idle(gd) {
+		if !gd.own || gd.changed || !b.room(gd) || lack[to] <= 0 || passed >= mostPassed || !c.unused(gd) {
 			continue
 		}
+		passed++
 		gd.moveTo = to
 		b.touch(gd)
 		for _, d := range gd.drafts {
-			lack[to] -= d.cpus
+			if t := c.machineType(d.m.doc.Type); t != nil {
+				lack[to] -= t.CPUs
+			}
 		}
 		c.log.Info("pass group on", "group", gd.g.n, "machines", len(gd.drafts), "from", b.o.n, "to", to)
 	}
 }
 
-// idle reports whether a group has machines, and all of them have nothing to do.
-func (c *Core) idle(gd *groupDraft) bool {
+// mostPassed is how many groups are passed on together: their machines take no
+// new work until their new commander has heard them.
+const mostPassed = 2
+
+// unused reports whether a group has machines, and none of this partition's jobs
+// has a task there. Others' tasks may: a commander is not their placer.
+func (c *Core) unused(gd *groupDraft) bool {
 	for _, d := range gd.drafts {
-		if !d.usable || d.live > 0 || len(d.keep) > 0 || !c.settled(d.m) {
+		if !d.usable || len(d.added) > 0 {
 			return false
 		}
+		for _, t := range d.keep {
+			if j := c.rep.jobs[t.Job]; j != nil && j.known && j.part == gd.g.part {
+				return false
+			}
+		}
 	}
 	return len(gd.drafts) > 0
 }
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -10,7 +10,7 @@
 
 // flushEvery is how long a job's progress may wait for others while changes are
 // scarce. Nothing is reaped before its end is stored, so nothing is lost.
-const flushEvery = 8 * units.Second
+const flushEvery = 20 * units.Second
 
 // finishJobs stores ends and progress of the partition's jobs, and clears away
 // the cancelled ones.
@@ -30,7 +30,7 @@
 		}
 	}
 	every := flushEvery
-	if c.tokens > c.tokensMost/2 {
+	if c.plenty() {
 		every = 0
 	}
 	least := b.ops - b.ops/2 // the rest is for what waits to start
@@ -54,6 +54,9 @@
 	}
 }
 
+// plenty reports whether changes are not scarce at the moment.
+func (c *Core) plenty() bool { return c.tokens > c.tokensMost/2 }
+
 // flush stores a job's progress.
 func (b *batch) flush(j *job) {
 	set := j.done
@@ -83,14 +86,11 @@
 		need++
 		bytes += s.size
 	}
-	if j.pack != nil && !b.packs.edited(j) {
-		need++
-		bytes += j.pack.size
-	}
-	return b.ops >= need && b.size >= bytes && !b.c.writing[s.key] && (j.pack == nil || !b.c.writing[j.pack.key])
+	return b.ops >= need && b.size >= bytes && !b.c.writing[s.key]
 }
 
-// clear removes a job that is over from its shelf and its progress.
+// clear removes a job that is over from its shelf. Its progress goes when its
+// document is next written; while changes are plenty, at once.
 func (b *batch) clear(j *job) {
 	s := b.c.rep.shelfOf(j.id)
 	if b.cleared[s] == nil {
@@ -99,7 +99,7 @@
 		b.size -= s.size
 	}
 	b.cleared[s][j.id] = true
-	if j.pack != nil {
+	if j.pack != nil && !b.c.writing[j.pack.key] && (b.packs.edited(j) || b.ops > 2 && b.size > j.pack.size+headBytes && b.c.plenty()) {
 		delete(b.packs.edit(j.pack.key), j.id)
 	}
 }
@@ -126,8 +126,14 @@
 	}
 	e := map[string]state.Done{}
 	if old := p.b.c.rep.packs[key]; old != nil {
-		maps.Copy(e, old.jobs)
 		p.sizes[key] = old.size
+		for id, d := range old.jobs {
+			if j := p.b.c.rep.jobs[id]; j != nil && j.known {
+				e[id] = d
+			} else { // over
+				p.sizes[key] -= len(id) + len(d.Ranges)
+			}
+		}
 	}
 	p.edits[key] = e
 	p.b.ops--
