--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -342,6 +342,7 @@
 	}
 	d.fixed -= moved
 	d.any += moved
+	d.any -= c.endingSoon()
 	ordinary, spot := c.coming()
 	d.any -= spot
 	d.fixed -= ordinary
@@ -353,6 +354,27 @@
 	return d
 }
 
+// endingSoon is the room of array tasks that are expected to end before a machine
+// rented now would be up: what waits for so little need not be rented for.
+func (c *Core) endingSoon() float64 {
+	boot := math.Inf(1)
+	for i := range c.cloud.types {
+		boot = min(boot, c.cloud.types[i].BootS)
+	}
+	sum := 0.0
+	for _, j := range c.sortedJobs() {
+		if j.spec.Service || j.cancelled {
+			continue
+		}
+		avg, _ := j.average()
+		if avg == 0 {
+			avg = firstGuess
+		}
+		sum += float64(j.active()) * j.spec.CPUs * min(1, boot/avg.Seconds())
+	}
+	return sum
+}
+
 // displaceable is the room on ordinary machines of work that could as well be on
 // spot machines.
 func (c *Core) displaceable() float64 {
@@ -558,7 +580,7 @@
 			continue
 		}
 		free += t.CPUs - u
-		if u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
+		if c.rented(m.name) && u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
 			all = append(all, candidate{m, t, u, t.Rate(m.doc.Spot) * (1 - u/t.CPUs)})
 		}
 	}
