--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -82,46 +82,105 @@
 	}
 	results := placement.Shares(list, room)
 	queue := b.pickGroups()
-	passes := 2
+	b.holds(active)
+	jobsInOrder := make([]*job, 0, len(results))
+	for _, r := range results {
+		j := byID[r.ID]
+		j.share = r.Share
+		if c.now >= j.retryAt {
+			jobsInOrder = append(jobsInOrder, j)
+		}
+	}
+	begun := func(j *job) bool { return running[j] > 0 || j.doneCount() > 0 }
+	share := func(j *job) int { return max(1, int(j.share/j.spec.CPUs+1e-9)) }
+	// First one task of each job that has not begun, whatever its size: it shows
+	// how long its tasks take, and no flood of smaller ones keeps it waiting. Then
+	// each up to its share, and what is left over to whoever can use it.
+	for _, j := range jobsInOrder {
+		if !begun(j) {
+			running[j] += b.placeUpTo(j, 1)
+			if !begun(j) {
+				b.hold(j)
+			}
+		}
+	}
+	for _, j := range jobsInOrder {
+		running[j] += b.placeUpTo(j, min(share(j), j.spec.Tasks)-running[j])
+	}
+	for _, j := range jobsInOrder {
+		running[j] += b.placeUpTo(j, j.spec.Tasks-running[j])
+	}
 	if queue {
-		passes = 3
+		b.lookAhead()
+		for _, j := range jobsInOrder {
+			running[j] += b.placeUpTo(j, j.spec.Tasks-running[j])
+		}
 	}
-	for pass := range passes {
-		if pass == 2 {
-			b.lookAhead()
+}
+
+// placeUpTo places up to so many tasks of an array, and returns how many it did.
+func (b *batch) placeUpTo(j *job, most int) int {
+	c := b.c
+	if j.failures >= 3 {
+		most = min(most, 1-j.active()) // it fails wherever it runs: try one task at a time
+	}
+	most = min(most, j.waiting())
+	if most <= 0 {
+		return 0
+	}
+	placed := 0
+	var d *draft
+	for n := j.next(0); n >= 0 && placed < most && b.ops >= 0 && b.underLimit(j); n = j.next(n + 1) {
+		// Neighbours go together: where one fitted best, so does the next.
+		if d == nil || !d.fits(j) || !c.allowed(j, d.m) {
+			d = b.choose(j)
 		}
-		for _, r := range results {
-			j := byID[r.ID]
-			j.share = r.Share
-			if c.now < j.retryAt {
-				continue
-			}
-			most := j.spec.Tasks
-			if pass == 0 {
-				most = max(1, int(r.Share/j.spec.CPUs+1e-9))
-			}
-			if j.failures >= 3 {
-				most = 1 // it fails wherever it runs: try one task at a time
-			}
-			if running[j] >= min(most, j.spec.Tasks-j.doneCount()) {
-				continue
-			}
-			var d *draft
-			for n := j.next(0); n >= 0 && running[j] < most && b.ops >= 0; n = j.next(n + 1) {
-				if !b.underLimit(j) {
-					break
-				}
-				// Neighbours go together: where one fitted best, so does the next.
-				if d == nil || !d.fits(j) || !c.allowed(j, d.m) {
-					d = b.choose(j)
-				}
-				if d != nil {
-					b.put(d, j, n)
-				} else if !c.recall(b, j, n) {
-					break
-				}
-				running[j]++
-			}
+		if d != nil {
+			b.put(d, j, n)
+		} else if !c.recall(b, j, n) {
+			break
+		}
+		placed++
+	}
+	return placed
+}
+
+// beginWithin is how long a job may wait for its first task before a machine is
+// kept free for it. It leaves tasks of a minute time to end within the four
+// minutes in which the largest jobs must begin.
+const beginWithin = 60 * units.Second
+
+// hold keeps the machine with the most free room for a job that has not begun:
+// without it, room for a large task never falls free in one piece while smaller
+// ones wait, and the last in the order would wait for all others.
+func (b *batch) hold(j *job) {
+	c := b.c
+	if c.wall-units.Micros(j.spec.At) < beginWithin || len(b.o.held) > len(b.drafts)/20 || !b.underLimit(j) {
+		return
+	}
+	for _, id := range b.o.held {
+		if id == j.id {
+			return
+		}
+	}
+	var best *draft
+	for _, d := range b.drafts {
+		t := c.machineType(d.m.doc.Type)
+		if d.gd.own && d.usable && b.o.held[d.m.name] == "" && t != nil && intake.Fits(&j.spec, t) && c.allowed(j, d.m) && (best == nil || d.cpus > best.cpus) {
+			best = d
+		}
+	}
+	if best != nil {
+		b.o.held[best.m.name] = j.id
+		c.log.Info("keep a machine free", "machine", best.m.name, "for", j.id)
+	}
+}
+
+// holds drops the machines that need not be kept free any more.
+func (b *batch) holds(active []*job) {
+	for name, id := range b.o.held {
+		if !slices.ContainsFunc(active, func(j *job) bool { return j.id == id && j.active() == 0 && j.doneCount() == 0 }) {
+			delete(b.o.held, name)
 		}
 	}
 }
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -380,6 +380,9 @@
 		if !j.spec.Service && (b.picked && !d.gd.picked && !d.gd.changed || !d.gd.own && b.busy[d.gd.g.part]) {
 			continue // not among those of this batch, or its own jobs wait for that room
 		}
+		if held := b.o.held[d.m.name]; held != "" && held != j.id && !j.spec.Service {
+			continue
+		}
 		score := -d.cpus
 		if d.has(j.spec.Image) && j.spec.Service {
 			score += 1000
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -24,7 +24,8 @@
 	jobs     map[string]*checked
 	on       map[string]map[string]bool // machine -> tasks on it
 	where    map[string]provision.Listed
-	task     map[string]string // task -> machine
+	task     map[string]string       // task -> machine
+	begun    map[string]units.Micros // when each job's first task started
 	asked    int
 	served   int
 }
@@ -46,7 +47,7 @@
 // NewChecker returns a checker that knows of no job.
 func NewChecker() *Checker {
 	return &Checker{limits: map[string]float64{}, gpuLimit: map[string]float64{}, jobs: map[string]*checked{},
-		on: map[string]map[string]bool{}, where: map[string]provision.Listed{}, task: map[string]string{}, CancelIn: 47 * units.Second}
+		on: map[string]map[string]bool{}, where: map[string]provision.Listed{}, task: map[string]string{}, begun: map[string]units.Micros{}, CancelIn: 47 * units.Second}
 }
 
 func (c *Checker) fail(rule, format string, args ...any) {
@@ -74,6 +75,9 @@
 	id := fmt.Sprintf("%s/%d", job, n)
 	j := c.jobs[job]
 	c.Started++
+	if _, ok := c.begun[job]; !ok {
+		c.begun[job] = c.now
+	}
 	if other, ok := c.task[id]; ok {
 		c.fail("ran_twice", "%s starts on %s while it is on %s", id, machine, other)
 	}
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -366,6 +366,16 @@
 				}
 			}
 		}
+	case "begun": // within so many seconds of their submission
+		for _, id := range a.pos[1:] {
+			j := w.users.jobs[id]
+			if j == nil {
+				return "", fmt.Errorf("no job %s", id)
+			}
+			if at, ok := w.Rules.begun[id]; !ok || at-j.accepted > a.dur("within", 240) {
+				return fmt.Sprintf("%s is not, or late: at %.1f s", id, at.Seconds()), nil
+			}
+		}
 	case "gone": // machines that were given back or have died
 		for _, n := range a.pos[1:] {
 			if w.workers[n] != nil {
