--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -93,11 +93,11 @@
 	}
 	begun := func(j *job) bool { return running[j] > 0 || j.doneCount() > 0 }
 	share := func(j *job) int { return max(1, int(j.share/j.spec.CPUs+1e-9)) }
-	// First one task of each job that has not begun, whatever its size: it shows
-	// how long its tasks take, and no flood of smaller ones keeps it waiting. Then
-	// each up to its share, and what is left over to whoever can use it.
+	// First one task of each job that has waited for long, whatever its size: it
+	// shows how long its tasks take, and no flood of smaller ones keeps it waiting.
+	// Then each up to its share, and what is left over to whoever can use it.
 	for _, j := range jobsInOrder {
-		if !begun(j) {
+		if !begun(j) && c.wall-units.Micros(j.spec.At) > beginWithin/2 {
 			running[j] += b.placeUpTo(j, 1)
 			if !begun(j) {
 				b.hold(j)
