--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -535,9 +535,10 @@
 	return max(30*units.Second, units.FromSeconds(t.BootS*c.pol.ReturnIdle))
 }
 
-// atOnce is how many machines of a fleet may be on their way out together, or
-// leave in one second: a few of a small one, a small part of a large one.
-func atOnce(few, fleet int) int { return max(few, fleet/50) }
+// At most so many machines are emptied together, and returned for being idle in
+// one second: a few of a small fleet, a small part of a large one.
+func (c *Core) mostEmptied() int  { return max(2, len(c.rep.machines)/20) }
+func (c *Core) mostReturned() int { return max(1, len(c.rep.machines)/50) }
 
 // consolidate chooses rented machines that are little used to be emptied, as far
 // as the free room elsewhere takes what is on them and leaves some for newcomers.
@@ -590,7 +591,7 @@
 	slices.SortStableFunc(all, func(x, y candidate) int { return cmp.Compare(y.waste, x.waste) })
 	for _, k := range all {
 		free -= k.t.CPUs // its own free room, and what its tasks take elsewhere
-		if draining >= atOnce(2, 5*len(c.rep.machines)/2) || free < max(8, c.pol.SpareShare*used) {
+		if draining >= c.mostEmptied() || free < max(8, c.pol.SpareShare*used) {
 			return
 		}
 		draining++
@@ -621,5 +622,5 @@
 		}
 	}
 	slices.SortStableFunc(idle, func(x, y *machine) int { return cmp.Compare(price(y), price(x)) })
-	c.retire("idle", idle[:min(len(idle), atOnce(1, len(c.rep.machines)))]...)
+	c.retire("idle", idle[:min(len(idle), c.mostReturned())]...)
 }
