Reports that were held and come all at once do not make a machine deaf

A session that ends proves lost answers only if the machine was heard without a gap for a whole lease.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -48,6 +48,7 @@
 	seq      uint64
 	seen     uint64       // highest token that a report has shown
 	heardAt  units.Micros // latest new report or direct answer; 0: none yet
+	steady   units.Micros // since when it has been heard without a gap of a lease
 	since    units.Micros
 	leaseEnd units.Micros // when its session is over for certain if it stays silent
 
@@ -169,8 +170,10 @@
 func (c *Core) listens(m *machine, r *workers.Report, tok uint64) {
 	rt := m.rt
 	switch {
-	case rt.session > 0 && r.Session > rt.session && c.now-rt.heardAt < c.cfg.Settings.Lease():
-		rt.unheard = deafAfter // its lease ran out though each of its reports was answered
+	case rt.session > 0 && r.Session > rt.session && c.now-rt.steady > c.cfg.Settings.Lease():
+		// Its lease ran out though its reports came, and were answered, for all that
+		// time. After a cut they may come all at once, which says nothing.
+		rt.unheard = deafAfter
 	case r.Token >= tok:
 		rt.unheard = 0
 	case rt.toldTok == tok:
@@ -264,6 +267,9 @@
 		c.log.Info("machine in a new session", "machine", m.name, "session", r.Session)
 		rt.runs = map[taskKey]runMark{}
 	}
+	if c.now-rt.heardAt > c.cfg.Settings.Lease() {
+		rt.steady = c.now
+	}
 	rt.session, rt.seq, rt.heardAt, rt.failed = r.Session, r.Seq, c.now, 0
 	// Its session was alive when it reported, and may have begun just then: what
 	// was known of the end of an earlier one says nothing about this one.
@@ -577,7 +583,7 @@
 			continue
 		}
 		total++
-		if m.rt.unheard >= deafAfter {
+		if m.rt.unheard >= deafAfter || m.rt.unheard > 0 && m.rt.failed >= 2 {
 			deaf = append(deaf, m)
 			continue
 		}
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -376,10 +376,10 @@
 				return fmt.Sprintf("%s is not, or late: at %.1f s", id, at.Seconds()), nil
 			}
 		}
-	case "gone": // machines that were given back or have died
+	case "gone", "there": // machines that were given back or have died; or have not
 		for _, n := range a.pos[1:] {
-			if w.workers[n] != nil {
-				return n + " is there", nil
+			if (w.workers[n] != nil) != (what == "there") {
+				return n + " is not " + what, nil
 			}
 		}
 	case "known": // entries of machines in the store
