Stand-in: the checker knows the 75 s after all troubles, and who must be served

A job about which nothing is answered for 75 s once all troubles are over is forgotten, however others fare; half of each class and team, and of each class's largest jobs within four minutes, must begin.

--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -19,6 +19,7 @@
 	Broken   []string
 	Started  int
 	CancelIn units.Micros
+	Calm     units.Micros       // when all troubles are over; 0: not known
 	limits   map[string]float64 // CPUs a team may use; 0: no limit
 	gpuLimit map[string]float64
 	jobs     map[string]*checked
@@ -34,7 +35,8 @@
 type checked struct {
 	spec      *state.Job
 	accepted  bool
-	aborted   bool // its user has asked to cancel
+	at        units.Micros // when it was accepted
+	aborted   bool         // its user has asked to cancel
 	told      string
 	cancelled units.Micros // when its user was told
 	done      map[int]bool
@@ -204,6 +206,10 @@
 	if j.failing == 0 {
 		j.failing, j.servedAt, j.askedAt = c.now, c.served, c.asked
 	}
+	if c.Calm > 0 && c.now-max(j.failing, c.Calm) > 75*units.Second && j.accepted {
+		c.fail("forgotten", "no question about %s has been answered since %.1f, though all troubles are over", j.spec.ID, j.failing.Seconds())
+		j.failing = c.now
+	}
 	if c.now-j.failing > 90*units.Second && j.failed >= 10 && (c.served-j.servedAt)*2 > c.asked-j.askedAt && j.accepted {
 		c.fail("forgotten", "every poll for %s has failed since %.1f", job, j.failing.Seconds())
 		j.failing = 0
@@ -219,7 +225,9 @@
 }
 
 func (c *Checker) told(j *checked, stage, was string) {
-	j.accepted = true
+	if !j.accepted {
+		j.accepted, j.at = true, c.now
+	}
 	over := j.told == "done" || j.told == "cancelled"
 	if (was == "done" || was == "cancelled" || over && stage != "pending" && stage != "running") && stage != j.told {
 		c.fail("went_back", "%s was called %s and now %s", j.spec.ID, j.told, stage)
@@ -250,4 +258,51 @@
 	if c.Started == 0 {
 		c.fail("nothing_ran", "no task was started")
 	}
+	groups := map[string][]*checked{}
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		// Those that came late, or that their users gave up, are nobody's fault.
+		if j := c.jobs[id]; j.accepted && !j.aborted && c.now-j.at > beginWithin {
+			groups["class "+j.spec.Class] = append(groups["class "+j.spec.Class], j)
+			groups["team "+j.spec.Team] = append(groups["team "+j.spec.Team], j)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		c.atLeastHalf(name, groups[name])
+		if strings.HasPrefix(name, "class") {
+			c.largest(name, groups[name])
+		}
+	}
+}
+
+// beginWithin is when the largest jobs must have begun.
+const beginWithin = 240 * units.Second
+
+// atLeastHalf fails a day on which less than half of some jobs have begun.
+func (c *Checker) atLeastHalf(name string, jobs []*checked) {
+	n := 0
+	for _, j := range jobs {
+		if _, ok := c.begun[j.spec.ID]; ok {
+			n++
+		}
+	}
+	if n*2 < len(jobs) {
+		c.fail("unserved", "%s: %d of %d jobs have begun", name, n, len(jobs))
+	}
+}
+
+// largest fails a day on which less than half of a class's largest jobs begin in
+// time: of the tenth with the most tasks.
+func (c *Checker) largest(name string, jobs []*checked) {
+	jobs = slices.Clone(jobs)
+	slices.SortStableFunc(jobs, func(a, b *checked) int { return b.spec.Tasks - a.spec.Tasks })
+	jobs = jobs[:(len(jobs)+9)/10]
+	n := 0
+	for _, j := range jobs {
+		if at, ok := c.begun[j.spec.ID]; ok && at-j.at <= beginWithin {
+			n++
+		}
+	}
+	if n*2 < len(jobs) {
+		c.fail("unserved", "%s: %d of its %d largest jobs began in time", name, n, len(jobs))
+	}
 }
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -52,6 +52,25 @@
 				c.Answer("poll", "j-3", 404, "", c.Told("j-3"))
 			}
 		}},
+		{"forgotten", func(c *Checker) { // however others fare
+			c.Answer("submit", "j-1", 201, "pending", c.Told("j-1"))
+			c.Calm = 10 * units.Second
+			for range 30 {
+				c.now += 3 * units.Second
+				c.Answer("poll", "j-1", 503, "", c.Told("j-1"))
+				c.Answer("poll", "j-2", 503, "", c.Told("j-2"))
+			}
+		}},
+		{"unserved", func(c *Checker) {
+			c.Answer("submit", "j-1", 201, "pending", c.Told("j-1"))
+			c.atLeastHalf("team red", []*checked{c.jobs["j-1"]})
+		}},
+		{"unserved", func(c *Checker) { // it began, but late
+			c.Answer("submit", "j-1", 201, "pending", c.Told("j-1"))
+			c.now += beginWithin + 1
+			c.On("m1", a, "j-1", 0)
+			c.End()
+		}},
 		{"invented", func(c *Checker) { c.Answer("poll", "j-77", 200, "pending", c.Told("j-77")) }},
 		{"not_done", func(c *Checker) { c.Completed("j-1", 0); c.Answer("poll", "j-1", 200, "done", c.Told("j-1")) }},
 		{"went_back", func(c *Checker) {
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -184,6 +184,15 @@
 			}
 		})
 	}
+	for _, st := range s.steps {
+		if st.do != "submit" && st.do != "cancel" && st.do != "repeat" {
+			over := units.Second + st.at + st.a.dur("for", 30)
+			if st.do == "roll" {
+				over += units.Micros(s.nodes) * st.a.dur("every", 20)
+			}
+			w.Rules.Calm = max(w.Rules.Calm, over)
+		}
+	}
 	w.every(500*units.Millisecond, w.Rules.Tick)
 	w.every(3*units.Second, w.users.stranger)
 	w.run(units.Second + s.end)
