--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -196,8 +196,18 @@
 // heardLately reports whether a machine that is not entered yet reports here or
 // to another controller: it is not silent, only the store is slow.
 func (c *Core) heardLately(name string) bool {
-	at, ok := c.heard[name]
-	return ok && c.now-at < 3*c.cfg.Settings.Report() || c.othersHear(name)
+	lately := 3 * c.cfg.Settings.Report()
+	if at, ok := c.heard[name]; ok && c.now-at < lately {
+		return true
+	}
+	// Who cannot be asked is no witness here: nothing runs on such a machine, and
+	// one that never comes up would be paid for as long as one beat stays away.
+	for _, p := range c.peers {
+		if ago, ok := p.beat.Heard[name]; ok && c.now-p.at+units.Micros(ago) < lately {
+			return true
+		}
+	}
+	return false
 }
 
 // deleteRetired returns the machines marked for it; their entries go only when
@@ -581,7 +591,7 @@
 			continue
 		}
 		free += t.CPUs - u
-		if c.rented(m.name) && u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
+		if u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
 			all = append(all, candidate{m, t, u, t.Rate(m.doc.Spot) * (1 - u/t.CPUs)})
 		}
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,8 +22,10 @@
 	Open    map[string][]string // machines it commands that take work, and the images there
 }
 
-// streamLife is how long a stream is used before it must be opened anew.
-const streamLife = 10 * time.Minute
+// streamLife is how long a stream is used before it is opened anew. After a cut a
+// connection may be dead without an error, and take what is written for minutes;
+// until it is opened anew, the other side counts this controller as unheard.
+const streamLife = 10 * time.Second
 
 // Listen takes beats until ctx ends.
 func Listen(ctx context.Context, addr string, got func(Beat)) error {
@@ -58,8 +60,7 @@
 func receive(c net.Conn, got func(Beat)) {
 	defer c.Close()
 	dec := gob.NewDecoder(c)
-	end := time.Now().Add(streamLife)
-	for time.Now().Before(end) {
+	for {
 		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 		var b Beat
 		if dec.Decode(&b) != nil {
@@ -73,6 +74,7 @@
 func Send(ctx context.Context, addr string, beats <-chan Beat) {
 	var c net.Conn
 	var enc *gob.Encoder
+	var opened time.Time
 	drop := func() {
 		if c != nil {
 			_ = c.Close()
@@ -85,12 +87,15 @@
 		case <-ctx.Done():
 			return
 		case b := <-beats:
+			if time.Since(opened) > streamLife {
+				drop()
+			}
 			if c == nil {
 				d, err := net.DialTimeout("tcp4", addr, time.Second)
 				if err != nil {
 					continue
 				}
-				c, enc = d, gob.NewEncoder(d)
+				c, enc, opened = d, gob.NewEncoder(d), time.Now()
 			}
 			_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second))
 			if enc.Encode(&b) != nil {
