--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -150,7 +150,7 @@
 		c.callState(state.Request{Kind: state.Get, Key: key}, func(r state.Response) {
 			switch r.Status {
 			case 200:
-				done(bytes.Contains(r.Value, []byte(`"`+mark+`"`)), r.Stamp)
+				done(bytes.Contains(state.Plain(r.Value), []byte(`"`+mark+`"`)), r.Stamp)
 			case 404:
 				done(false, 0)
 			default:
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -215,7 +215,7 @@
 		for _, a := range wait {
 			j := c.rep.jobs[a.job.ID]
 			twice := slices.ContainsFunc(put, func(b accept) bool { return b.job.ID == a.job.ID })
-			cost := len(encode(a.job)) + 1
+			cost := storedCost(len(encode(a.job)))
 			switch {
 			case j != nil && j.known: // entered meanwhile, by way of another controller
 				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
@@ -236,6 +236,13 @@
 		}
 		doc.Mark = mark
 		val := encode(doc)
+		if len(val) > c.valueMax() { // what was added is longer than it looked
+			c.log.Error("a shelf outgrew its document", "shelf", s.key, "bytes", len(val))
+			for _, a := range put {
+				c.answer(a.to, 503, nil)
+			}
+			continue
+		}
 		size += len(val)
 		txn.Guards = append(txn.Guards, state.Guard{Key: s.key, Stamp: c.rep.stamps[s.key]})
 		for _, a := range put {
@@ -317,6 +324,10 @@
 	}
 }
 
+// storedCost bounds what so many bytes of plain JSON add to a value that may be
+// stored in the short form: what does not shrink is a third longer there.
+func storedCost(plain int) int { return plain*4/3 + 8 }
+
 // valueMax is how long a stored value may be: as the store allows, and so that
 // one transaction takes at least two.
 func (c *Core) valueMax() int {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -38,7 +38,7 @@
 	var b strings.Builder
 	for k, e := range s.keys {
 		if strings.HasPrefix(k, under) {
-			b.Write(e.val)
+			b.Write(state.Plain(e.val))
 		}
 	}
 	return b.String()
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -133,12 +133,16 @@
 			out.Kinds = append(out.Kinds, m.MachineKind)
 		}
 	}
-	return json.Marshal(out)
+	return squeeze(out)
 }
 
 // UnmarshalJSON gives the machines their kinds.
 func (g *Group) UnmarshalJSON(raw []byte) error {
 	var in plainGroup
+	raw, err := expand(raw)
+	if err != nil {
+		return fmt.Errorf("group: %w", err)
+	}
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return fmt.Errorf("group: %w", err)
 	}
@@ -177,6 +181,24 @@
 	Mark string `json:"w,omitempty"`
 }
 
+// plainShelf is a Shelf without its methods.
+type plainShelf Shelf
+
+// MarshalJSON writes the short form.
+func (s Shelf) MarshalJSON() ([]byte, error) { return squeeze(plainShelf(s)) }
+
+// UnmarshalJSON reads either form.
+func (s *Shelf) UnmarshalJSON(raw []byte) error {
+	raw, err := expand(raw)
+	if err != nil {
+		return fmt.Errorf("shelf: %w", err)
+	}
+	if err := json.Unmarshal(raw, (*plainShelf)(s)); err != nil {
+		return fmt.Errorf("shelf: %w", err)
+	}
+	return nil
+}
+
 // Job is an accepted job as submitted.
 type Job struct {
 	ID      string   `json:"i"`
--- a/internal/state/docs_test.go
+++ b/internal/state/docs_test.go
@@ -1,8 +1,10 @@
 package state
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -78,3 +80,36 @@
 		}
 	}
 }
+
+// TestShortForm shows that documents come back whole from either form, and that a
+// commit's mark is found in both.
+func TestShortForm(t *testing.T) {
+	for _, jobs := range []int{0, 1, 40} {
+		in := Shelf{Mark: "inc-7"}
+		for n := range jobs {
+			in.Jobs = append(in.Jobs, Job{ID: fmt.Sprintf("j-%06d", n*7919%100000), Class: "c", Team: "red", Tasks: n, CPUs: 2, MemGB: 7.4, Image: "img-01"})
+		}
+		raw, err := json.Marshal(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		plain, err := json.Marshal(plainShelf(in))
+		if err != nil || len(raw) > len(plain) || jobs == 40 && len(raw)*3 > len(plain) {
+			t.Errorf("%d jobs: %d bytes, plain %d: %v", jobs, len(raw), len(plain), err)
+		}
+		for _, form := range [][]byte{raw, plain} {
+			var out Shelf
+			if err := json.Unmarshal(form, &out); err != nil || !reflect.DeepEqual(in, out) {
+				t.Errorf("%d jobs: %v, %+v", jobs, err, out)
+			}
+			if !strings.Contains(string(Plain(form)), `"inc-7"`) {
+				t.Errorf("%d jobs: no mark in %q", jobs, form)
+			}
+		}
+	}
+	for _, bad := range []string{`"x`, `"!!!!"`, `"AAAA"`} {
+		if err := json.Unmarshal([]byte(bad), &Shelf{}); err == nil {
+			t.Errorf("%s was read", bad)
+		}
+	}
+}
