Connections to workers are closed when many are open, commands do not queue behind questions

Whoever commands a fleet alone has a connection from each worker as well: kept ones to 2,000 of them would be more than a process's sockets. Questions to a zone that is cut off all take a second, and commands waited behind them.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -36,7 +37,9 @@
 
 	mu       sync.Mutex
 	machines map[string]*fasthttp.HostClient
-	calling  chan struct{} // holds one for each call of a worker that is under way
+	asking   chan struct{} // holds one for each question to a worker that is under way
+	telling  chan struct{} // and for each command
+	open     atomic.Int64  // connections to workers
 }
 
 func newClients(n *Node) *clients {
@@ -48,7 +51,10 @@
 		machines: map[string]*fasthttp.HostClient{},
 		// A take-over asks a thousand machines at once, while as many report and
 		// users ask: together they must stay below the socket limit.
-		calling: make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/8)),
+		// Commands have a part of their own, since questions to a zone that is cut off
+		// all take as long as they may.
+		asking:  make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/12)),
+		telling: make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/12)),
 	}
 }
 
@@ -69,13 +75,39 @@
 	}
 }
 
-// do makes one request; status 0 means that there was no answer.
-func do(c *fasthttp.HostClient, method, path string, body any, within time.Duration, into any) int {
+// dialWorker counts the connections to workers, until they are closed.
+func (c *clients) dialWorker(addr string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp4", addr, dialWithin)
+	if err != nil {
+		return nil, err
+	}
+	c.open.Add(1)
+	return &counted{Conn: conn, open: &c.open}, nil
+}
+
+// counted is a connection that is taken off a count when it is closed.
+type counted struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int64
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// do makes one request; status 0 means that there was no answer. With last the
+// connection is not kept.
+func do(c *fasthttp.HostClient, method, path string, body any, within time.Duration, into any, last bool) int {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + c.Addr + path)
+	if last {
+		req.SetConnectionClose()
+	}
 	if body != nil {
 		b, err := json.Marshal(body)
 		if err != nil {
@@ -100,23 +132,23 @@
 	q := e.Req
 	switch q.Kind {
 	case state.Get:
-		r.Status = do(c.calls, "GET", "/kv/"+q.Key, nil, stateWithin, &r)
+		r.Status = do(c.calls, "GET", "/kv/"+q.Key, nil, stateWithin, &r, false)
 	case state.List:
 		path := "/kv?under=" + url.QueryEscape(q.Key) + "&most=1000"
 		if q.Since != "" {
 			path += "&since=" + url.QueryEscape(q.Since)
 		}
-		r.Status = do(c.calls, "GET", path, nil, 2*stateWithin, &r)
+		r.Status = do(c.calls, "GET", path, nil, 2*stateWithin, &r, false)
 	case state.Commit:
-		r.Status = do(c.calls, "POST", "/txn", q.Txn, stateWithin, &r)
+		r.Status = do(c.calls, "POST", "/txn", q.Txn, stateWithin, &r, false)
 	case state.Grant:
-		r.Status = do(c.calls, "POST", "/holds", map[string]int64{"ttlMs": q.TTLMs}, stateWithin, &r)
+		r.Status = do(c.calls, "POST", "/holds", map[string]int64{"ttlMs": q.TTLMs}, stateWithin, &r, false)
 	case state.Renew:
-		r.Status = do(c.calls, "POST", "/holds/"+strconv.FormatUint(q.Permit, 10)+"/renew", nil, stateWithin, &r)
+		r.Status = do(c.calls, "POST", "/holds/"+strconv.FormatUint(q.Permit, 10)+"/renew", nil, stateWithin, &r, false)
 	case state.Watch:
 		path := "/changes?under=" + url.QueryEscape(q.Key) + "&since=" + strconv.FormatUint(q.Rev, 10) +
 			"&holdMs=" + strconv.FormatInt(q.HoldMs, 10)
-		r.Status = do(c.watches, "GET", path, nil, time.Duration(q.HoldMs)*time.Millisecond+holdExtra, &r)
+		r.Status = do(c.watches, "GET", path, nil, time.Duration(q.HoldMs)*time.Millisecond+holdExtra, &r, false)
 	}
 	c.n.post(core.StateDone{ID: e.ID, Resp: r})
 }
@@ -125,17 +157,17 @@
 	d := core.CloudDone{ID: e.ID}
 	switch e.Op {
 	case core.CloudCatalog:
-		d.Status = do(c.provider, "GET", "/catalog", nil, cloudWithin, &d.Catalog)
+		d.Status = do(c.provider, "GET", "/catalog", nil, cloudWithin, &d.Catalog, false)
 	case core.CloudHire:
-		d.Status = do(c.provider, "POST", "/machines", e.Hire, cloudWithin, &d.Names)
+		d.Status = do(c.provider, "POST", "/machines", e.Hire, cloudWithin, &d.Names, false)
 	case core.CloudDelete:
-		d.Status = do(c.provider, "POST", "/machines/delete", e.Names, cloudWithin, nil)
+		d.Status = do(c.provider, "POST", "/machines/delete", e.Names, cloudWithin, nil, false)
 	case core.CloudList:
 		path := "/machines?most=500"
 		if e.Since != "" {
 			path += "&since=" + url.QueryEscape(e.Since)
 		}
-		d.Status = do(c.provider, "GET", path, nil, cloudWithin, &d.Page)
+		d.Status = do(c.provider, "GET", path, nil, cloudWithin, &d.Page, false)
 	}
 	c.n.post(d)
 }
@@ -143,13 +175,20 @@
 func (c *clients) worker(e core.WorkerCall) {
 	d := core.WorkerDone{ID: e.ID}
 	var r workers.Report
-	c.calling <- struct{}{}
-	defer func() { <-c.calling }()
+	under := c.telling
+	if e.Cmd == nil {
+		under = c.asking
+	}
+	under <- struct{}{}
+	defer func() { <-under }()
 	h := c.machine(e.Addr)
+	// Whoever commands the whole fleet has a connection from each worker as well:
+	// kept ones to each of them would be more than there are sockets.
+	last := c.open.Load() > int64(c.n.cfg.Settings.Limits.Sockets/6)
 	if e.Cmd == nil {
-		d.Status = do(h, "GET", "/inspect", nil, workerWithin, &r)
+		d.Status = do(h, "GET", "/inspect", nil, workerWithin, &r, last)
 	} else {
-		d.Status = do(h, "POST", "/commands", e.Cmd, workerWithin, &r)
+		d.Status = do(h, "POST", "/commands", e.Cmd, workerWithin, &r, last)
 	}
 	if d.Status == 200 || d.Status == 409 {
 		d.Report = &r
@@ -174,6 +213,7 @@
 		}
 		h = hostClient(addr, 3)
 		h.MaxIdleConnDuration = workerIdle
+		h.Dial = c.dialWorker
 		c.machines[addr] = h
 	}
 	return h
