A zone that falls silent as a whole is not deleted; views of machines kept between plans

Now all machines of such a zone are asked, and if next to none answers only the cloud's list may tell that one is gone.

--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -294,6 +294,9 @@
 	if avg == 0 {
 		return 0
 	}
+	if j.observedAt > 0 && c.now-j.observedAt < observeEvery {
+		return max(avg, j.observed)
+	}
 	var over, late units.Micros
 	for n, b := range j.bound {
 		if b.m.rt == nil {
@@ -305,9 +308,13 @@
 		}
 	}
 	// The late ones count with what they have taken so far, as if they ended now.
-	return avg + over/(units.Micros(j.doneCount())+late+1)
+	j.observed, j.observedAt = avg+over/(units.Micros(j.doneCount())+late+1), c.now
+	return j.observed
 }
 
+// observeEvery is how often all running tasks of a job are looked at.
+const observeEvery = 2 * units.Second
+
 // waiting counts the tasks that are neither done nor bound.
 func (j *job) waiting() int {
 	return max(0, j.spec.Tasks-j.doneCount()-j.active())
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -131,9 +131,6 @@
 func (c *Core) readList() {
 	k := &c.cloud
 	c.unlisted()
-	if k.chargeAt == 0 {
-		return // another rents and returns
-	}
 	var stray []string
 	for _, name := range slices.Sorted(maps.Keys(k.listed)) {
 		l, m := k.listed[name], c.rep.machines[name]
@@ -144,6 +141,9 @@
 			}
 			continue
 		}
+		if k.chargeAt == 0 {
+			continue // another rents and returns
+		}
 		boot := 60.0
 		if t := c.machineType(l.Type); t != nil {
 			boot = t.BootS
@@ -456,7 +456,7 @@
 	for i := range c.cloud.types {
 		t := &c.cloud.types[i]
 		for _, z := range t.Zones {
-			if !c.wantedIn(short, t, z, spotJobs) {
+			if c.zoneDoubt[z] || !c.wantedIn(short, t, z, spotJobs) {
 				continue
 			}
 			for _, spot := range []bool{false, true} {
@@ -621,7 +621,8 @@
 			continue
 		}
 		used := slices.ContainsFunc(m.doc.Tasks, func(t state.Task) bool { return c.unstored(t) != nil })
-		if used || m.rt.heardAt == 0 || waiting {
+		// One that is not heard may be cut off, and is not idle for sure.
+		if used || waiting || c.now-m.rt.heardAt > 2*c.cfg.Settings.Report() {
 			m.rt.idleAt = c.now
 			continue
 		}
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -249,7 +249,7 @@
 			if seen := e.token >> 31; seen >= gd.g.handover {
 				doc.Handover = seen - gd.g.handover + 1
 			}
-			gd.bytes -= len(encode(doc)) + 1
+			gd.bytes -= storedCost(len(encode(doc)))
 			gd.entries = append(gd.entries, doc)
 			b.touch(gd)
 			c.log.Info("enter a machine", "machine", name, "type", r.Type, "spot", r.Spot, "partition", gd.g.part)
@@ -257,10 +257,51 @@
 	}
 }
 
+// view is what a machine's entry and its reports say about its room. Looking at
+// every task of every machine for each plan was half of all the work of a large
+// fleet, so it is kept until something that it depends on has changed.
+type view struct {
+	until units.Micros // it may have changed by then; 0: nothing is kept
+	keep  []state.Task // entries that must stay
+	live  int          // tasks that may be active
+	used  gap
+	soon  gap // room of array tasks that are about to end
+}
+
+// viewAge bounds how long a view is kept, whatever may have been overlooked.
+const viewAge = 5 * units.Second
+
+// touch drops what is kept of a machine: its entry, its reports or one of its
+// jobs has changed.
+func (m *machine) touch() { m.views = [2]view{} }
+
+// touch drops what is kept of the machines on which the job may run.
+func (j *job) touch() {
+	for _, b := range j.bound {
+		b.m.touch()
+	}
+}
+
 // fill takes from a draft's room what may be on the machine.
 func (b *batch) fill(d *draft) {
-	c, m, rt := b.c, d.m, d.m.rt
-	own := d.gd.own
+	v := &d.m.views[0]
+	if d.gd.own {
+		v = &d.m.views[1]
+	}
+	if b.c.now >= v.until {
+		*v = b.c.survey(d.m, d.gd.own)
+	}
+	d.keep, d.live, d.soon = v.keep, v.live, v.soon
+	d.gap = gap{d.gap.cpus - v.used.cpus, d.gap.gpus - v.used.gpus, d.gap.mem - v.used.mem}
+}
+
+// survey makes a machine's view, as its commander or as somebody else.
+func (c *Core) survey(m *machine, own bool) view {
+	rt := m.rt
+	v := view{until: c.now + viewAge}
+	if own && c.now <= rt.leaseEnd {
+		v.until = min(v.until, rt.leaseEnd+1)
+	}
 	for _, task := range m.doc.Tasks {
 		j := c.rep.jobs[task.Job]
 		over := j == nil || !j.known || j.done.Has(task.Num)
@@ -277,42 +318,48 @@
 			active = j != nil && (running || !j.isDone(task.Num))
 		}
 		if !over || !own {
-			d.keep = append(d.keep, task)
+			v.keep = append(v.keep, task)
+		}
+		if !active {
+			continue
 		}
-		if active {
-			d.live++
-			d.gap.fill(&j.spec, 1)
-			if own && c.endsSoon(m, j, task) {
-				d.soon.fill(&j.spec, -1)
+		v.live++
+		v.used.fill(&j.spec, -1)
+		if own {
+			if at := c.endsAt(m, j, task); at <= c.now {
+				v.soon.fill(&j.spec, -1)
+			} else {
+				v.until = min(v.until, at)
 			}
 		}
 	}
 	if !own {
-		return
+		return v
 	}
 	for k, piece := range rt.pieces { // tasks that nobody lists take room until they are gone
 		if piece.State != workers.Ended && !m.lists(k) {
 			if j := c.rep.jobs[k.job]; j != nil && j.known {
-				d.gap.fill(&j.spec, 1)
+				v.used.fill(&j.spec, -1)
 			}
-			d.live++
+			v.live++
 		}
 	}
+	return v
 }
 
 // queueAhead is how long before its expected end a task's room may be given to
 // the next one.
 const queueAhead = 6 * units.Second
 
-// endsSoon reports whether an array task that runs on m is expected to end
-// within moments, by what has been observed of its job.
-func (c *Core) endsSoon(m *machine, j *job, t state.Task) bool {
+// endsAt is when an array task that runs on m comes so close to its end, by what
+// has been observed of its job, that its room may be given to the next one.
+func (c *Core) endsAt(m *machine, j *job, t state.Task) units.Micros {
 	run, ok := m.rt.runs[keyOf(t)]
-	if !ok || j.spec.Service {
-		return false
-	}
 	avg, _ := j.average()
-	return avg > 0 && c.now-run.at > avg-queueAhead
+	if !ok || j.spec.Service || avg == 0 {
+		return math.MaxInt64
+	}
+	return run.at + avg - queueAhead
 }
 
 func (m *machine) lists(k taskKey) bool {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -15,11 +15,12 @@
 // machine is one machine: its stored document, and rt, what its owner has
 // learnt of it since it became the owner.
 type machine struct {
-	name string
-	g    *group
-	doc  state.Machine
-	rt   *runtime
-	gone bool // the cloud has confirmed its deletion: the entry may go
+	name  string
+	g     *group
+	doc   state.Machine
+	rt    *runtime
+	gone  bool    // the cloud has confirmed its deletion: the entry may go
+	views [2]view // kept for plans: as somebody else sees it, and as its commander does
 }
 
 // part is the partition that commands the machine; -1 when it is retired:
@@ -48,7 +49,8 @@
 	seq      uint64
 	seen     uint64       // highest token that a report has shown
 	heardAt  units.Micros // latest new report or direct answer; 0: none yet
-	steady   units.Micros // since when it has been heard without a gap of a lease
+	answered units.Micros // when a report of it was last answered
+	steady   units.Micros // since when they have been, without a gap of a lease
 	since    units.Micros
 	leaseEnd units.Micros // when its session is over for certain if it stays silent
 
@@ -91,6 +93,7 @@
 // until it had to stop doing so, one AnswerBound after its last proof.
 func (c *Core) acquire(m *machine, o *own) {
 	l := c.cfg.Settings.Lease()
+	m.touch()
 	m.rt = &runtime{
 		owner: o, since: c.now, idleAt: c.now,
 		leaseEnd: c.now + c.cfg.Settings.AnswerBound() + l + leaseMargin(l),
@@ -153,6 +156,10 @@
 	if r.Newer(m.rt.session, m.rt.seq) { // a late copy is no sign of life
 		c.heard[r.Machine] = c.now
 		c.listens(m, r, tok)
+		if c.now-m.rt.answered > c.cfg.Settings.Lease() {
+			m.rt.steady = c.now
+		}
+		m.rt.answered = c.now
 	}
 	c.observe(m, r)
 	l := c.cfg.Settings.Lease()
@@ -170,9 +177,10 @@
 func (c *Core) listens(m *machine, r *workers.Report, tok uint64) {
 	rt := m.rt
 	switch {
-	case rt.session > 0 && r.Session > rt.session && c.now-rt.steady > c.cfg.Settings.Lease():
+	case rt.session > 0 && r.Session > rt.session && c.now-rt.answered < c.cfg.Settings.Lease() && c.now-rt.steady > c.cfg.Settings.Lease():
 		// Its lease ran out though its reports came, and were answered, for all that
-		// time. After a cut they may come all at once, which says nothing.
+		// time. After a cut they may come all at once, or only the new session, which
+		// says nothing.
 		rt.unheard = deafAfter
 	case r.Token >= tok:
 		rt.unheard = 0
@@ -207,11 +215,13 @@
 		return
 	}
 	if e := c.entering[r.Machine]; e != nil { // it came back: the earlier request is no longer waited for
-		c.reply(e.q.To, 503, nil)
-		e.q = q
+		if e.waits {
+			c.reply(e.q.To, 503, nil)
+		}
+		e.q, e.at, e.waits = q, c.now, true
 		return
 	}
-	e := &entry{q: q, at: c.now}
+	e := &entry{q: q, at: c.now, waits: true}
 	c.entering[r.Machine] = e
 	id := c.id()
 	c.cmdCalls[id] = func(d WorkerDone) {
@@ -220,7 +230,9 @@
 		}
 		if d.Report == nil || d.Report.Machine != r.Machine {
 			delete(c.entering, r.Machine)
-			c.reply(e.q.To, 503, nil)
+			if e.waits {
+				c.reply(e.q.To, 503, nil)
+			}
 			return
 		}
 		e.answered = true
@@ -233,13 +245,19 @@
 // entry is a machine that is about to be entered.
 type entry struct {
 	q        ReportReq
-	at       units.Micros
+	at       units.Micros // when it last reported
+	waits    bool         // its report is not answered yet
 	answered bool
 	token    uint64 // the highest that it has seen
 }
 
-// entryWait is how long a newcomer's report may wait for its entry.
-const entryWait = 3500 * units.Millisecond
+// entryWait is how long a newcomer's report may wait for its entry. Its entry is
+// written all the same for a while: a thousand machines that report at once need
+// more writes than can be made before they give up, and each would begin anew.
+const (
+	entryWait = 3500 * units.Millisecond
+	entryKept = 20 * units.Second
+)
 
 // entered answers newcomers whose entry is stored, and those that wait too long.
 func (c *Core) entered() {
@@ -248,9 +266,13 @@
 		switch {
 		case c.rep.machines[name] != nil:
 			delete(c.entering, name)
-			c.report(e.q)
-		case c.now-e.at > entryWait:
+			if e.waits {
+				c.report(e.q)
+			}
+		case c.now-e.at > entryKept:
 			delete(c.entering, name)
+		case e.waits && c.now-e.at > entryWait:
+			e.waits = false
 			c.reply(e.q.To, 503, nil)
 		}
 	}
@@ -263,13 +285,11 @@
 		return
 	}
 	c.dirty = true
+	m.touch()
 	if r.Session > rt.session && rt.session > 0 {
 		c.log.Info("machine in a new session", "machine", m.name, "session", r.Session)
 		rt.runs = map[taskKey]runMark{}
 	}
-	if c.now-rt.heardAt > c.cfg.Settings.Lease() {
-		rt.steady = c.now
-	}
 	rt.session, rt.seq, rt.heardAt, rt.failed = r.Session, r.Seq, c.now, 0
 	// Its session was alive when it reported, and may have begun just then: what
 	// was known of the end of an earlier one says nothing about this one.
@@ -515,6 +535,7 @@
 		return
 	}
 	rt.out++
+	m.touch()
 	id := c.id()
 	sess := rt.session
 	c.cmdCalls[id] = func(d WorkerDone) {
@@ -522,6 +543,7 @@
 			return
 		}
 		rt.out--
+		m.touch()
 		if d.Report != nil && d.Report.Machine == m.name {
 			c.observe(m, d.Report)
 			c.dirty = true
@@ -577,12 +599,19 @@
 	}
 	report := c.cfg.Settings.Report()
 	total, hearing := 0, 0
+	zones := map[string]*zoneView{}
 	var silent, taken, deaf []*machine
 	for _, m := range c.sortedMachines() {
 		if m.rt == nil || !c.usable(m.part()) {
 			continue
 		}
 		total++
+		z := zones[m.doc.Zone]
+		if z == nil {
+			z = &zoneView{}
+			zones[m.doc.Zone] = z
+		}
+		z.machines = append(z.machines, m)
 		if m.rt.unheard >= deafAfter || m.rt.unheard > 0 && m.rt.failed >= 2 {
 			deaf = append(deaf, m)
 			continue
@@ -601,10 +630,14 @@
 			m.rt.probeAt = c.now
 			c.inspect(m)
 		}
+		if overdue && m.rt.failed > 0 {
+			z.failing++
+		}
 		if overdue && m.rt.failed >= 2 {
 			silent = append(silent, m)
 		}
 	}
+	c.judgeZones(zones)
 	for _, m := range c.noticed() {
 		if m.rt.probeBad > m.rt.noticeAt && m.rt.probeBad > m.rt.heardAt {
 			taken = append(taken, m) // announced, and now it does not answer
@@ -629,7 +662,7 @@
 	}
 	var gone []*machine
 	for _, m := range silent {
-		if len(gone) <= total/8 && !c.othersHear(m.name) {
+		if len(gone) <= total/8 && !c.zoneDoubt[m.doc.Zone] && !c.othersHear(m.name) {
 			gone = append(gone, m)
 		}
 	}
@@ -637,6 +670,67 @@
 	c.giveUp("nothing reaches it", deaf...)
 }
 
+// zoneView is what an owner sees of its machines in one zone.
+type zoneView struct {
+	machines []*machine
+	failing  int // overdue, and did not answer a question
+}
+
+// judgeZones notices zones that may be cut off. When several machines of a zone
+// fall silent at once, all of them there are asked: if next to none answers, it is
+// the way to the zone that is lost. The machines run on behind the cut, their
+// tasks until their leases end, and all of them are back after it; deleting them
+// once took half of a fleet's machines away for minutes. Of those that are really
+// gone the cloud's list will tell.
+func (c *Core) judgeZones(zones map[string]*zoneView) {
+	for zone := range c.zoneAsked {
+		if z := zones[zone]; z == nil || z.failing == 0 {
+			delete(c.zoneAsked, zone)
+			delete(c.zoneDoubt, zone)
+		}
+	}
+	if len(zones) < 2 {
+		return // with one zone, a silent majority is doubted anyway
+	}
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		z := zones[zone]
+		asked, open := c.zoneAsked[zone]
+		switch {
+		case !open && z.failing < max(3, len(z.machines)/20):
+		case !open || c.now-asked > zoneAgain:
+			c.zoneAsked[zone], c.zoneDoubt[zone] = c.now, true
+			for _, m := range z.machines {
+				if c.now-m.rt.heardAt > units.Second {
+					m.rt.probeAt = c.now
+					c.inspect(m)
+				}
+			}
+		case c.now-asked > zoneAnswers:
+			answered := 0
+			for _, m := range z.machines {
+				if m.rt.heardAt >= asked-units.Second {
+					answered++
+				}
+			}
+			doubt := answered*4 < len(z.machines)
+			if doubt {
+				c.cloud.doubtAt = c.now
+			}
+			if doubt && c.every("zone"+zone, 10*units.Second) {
+				c.log.Warn("a zone seems cut off", "zone", zone, "machines", len(z.machines), "answer", answered)
+			}
+			c.zoneDoubt[zone] = doubt
+		}
+	}
+}
+
+// The machines of a zone in doubt have so long to answer, and are asked again
+// after a while.
+const (
+	zoneAnswers = 1800 * units.Millisecond
+	zoneAgain   = 10 * units.Second
+)
+
 // handOverDeaf gives a partition none of whose machines are heard here to a
 // controller that hears most of them: this node's own network is what fails,
 // and while it kept the partition the machines' leases would run out.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -83,15 +83,16 @@
 	part      int
 
 	// The owner's own knowledge, lost with it.
-	extra    map[int]bool // done on machines of this node, not yet stored
-	runSum   units.Micros // lengths of those
-	runCount int
-	share    float64
-	failures int
-	retryAt  units.Micros
-	seenAt   units.Micros
-	flushAt  units.Micros // when its progress was last written
-	storedAs string       // done, as it is stored
+	extra      map[int]bool // done on machines of this node, not yet stored
+	runSum     units.Micros // lengths of those
+	runCount   int
+	share      float64
+	failures   int
+	retryAt    units.Micros
+	observed   units.Micros // average with what running tasks have taken, and when it was worked out
+	observedAt units.Micros
+	flushAt    units.Micros // when its progress was last written
+	storedAs   string       // done, as it is stored
 }
 
 type bind struct {
@@ -217,6 +218,7 @@
 	case strings.HasPrefix(key, state.Cancels):
 		j := r.job(strings.TrimPrefix(key, state.Cancels))
 		j.cancelled = !deleted
+		j.touch()
 		if deleted {
 			r.tidy(j)
 		}
@@ -240,13 +242,15 @@
 		still[spec.ID] = true
 		j := r.job(spec.ID)
 		if !j.known {
-			j.spec, j.known, j.seenAt = *spec, true, c.now
+			j.spec, j.known = *spec, true
 			j.part = c.partOf(spec.Team)
+			j.touch()
 		}
 	}
 	for _, id := range old {
 		if j := r.jobs[id]; j != nil && !still[id] {
 			j.known = false
+			j.touch()
 			r.tidy(j)
 		}
 	}
@@ -281,6 +285,7 @@
 			continue
 		}
 		j.live = -1
+		j.touch()
 		j.done, j.storedAs, j.avg, j.avgOf = set, d.Ranges, units.FromSeconds(d.AvgS), d.Of
 		for n := range j.extra {
 			if set.Has(n) {
@@ -349,6 +354,7 @@
 	if changed {
 		c.unbind(m)
 		m.doc = *doc
+		m.touch()
 		for _, t := range doc.Tasks {
 			j := c.rep.job(t.Job)
 			j.bind(t.Num, bind{m, t.Attempt})
@@ -382,6 +388,9 @@
 		j.extra = map[int]bool{}
 	}
 	j.extra[n], j.live = true, -1
+	if b, ok := j.bound[n]; ok {
+		b.m.touch()
+	}
 	if ran > 0 {
 		j.runSum += ran
 		j.runCount++
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -269,6 +269,8 @@
 		}
 	case "cut":
 		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: a.val("mode", "drop") == "hold", deaf: a.val("mode", "drop") == "deaf"})
+	case "zonecut":
+		w.cuts = append(w.cuts, &cut{zone: a.str(0), until: w.now + length, hold: a.val("mode", "drop") == "hold"})
 	case "refuse":
 		w.store.refuse[a.str(0)] = w.now + length
 	case "outage":
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -65,6 +65,7 @@
 // cut is an interruption between two kinds of host.
 type cut struct {
 	a, b  string
+	zone  string // instead of a and b: all in that zone from all that is not
 	until units.Micros
 	hold  bool
 	deaf  bool // only what b sends to a is lost
@@ -136,6 +137,12 @@
 // blocked finds an interruption of what one host sends to another.
 func (w *World) blocked(from, to string) *cut {
 	for _, c := range w.cuts {
+		if c.zone != "" {
+			if w.now < c.until && (w.zoneOf(from) == c.zone) != (w.zoneOf(to) == c.zone) {
+				return c
+			}
+			continue
+		}
 		if w.now < c.until && (matches(c.a, from) && matches(c.b, to) && !c.deaf || matches(c.a, to) && matches(c.b, from)) {
 			return c
 		}
@@ -143,6 +150,20 @@
 	return nil
 }
 
+// zoneOf is the zone that a machine or controller is in; the rest belongs to the
+// region.
+func (w *World) zoneOf(host string) string {
+	if k := w.workers[host]; k != nil {
+		return k.l.Zone
+	}
+	for i, n := range w.nodes {
+		if n.name == host {
+			return n.cfg.Settings.Zones[i%len(n.cfg.Settings.Zones)]
+		}
+	}
+	return ""
+}
+
 func matches(pattern, host string) bool {
 	if pattern == "*" || pattern == host {
 		return true
