--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -124,13 +124,15 @@
 
 func (j *job) isDone(n int) bool { return j.extra[n] || j.done.Has(n) }
 
-func newReplica(spread int, defaultPart func(group int) int) *replica {
+func newReplica(spread, shelves int, defaultPart func(group int) int) *replica {
 	r := &replica{
 		stamps: map[string]uint64{}, tombs: map[string]uint64{}, nodes: map[string]units.Micros{},
 		parts: map[int]*part{}, machines: map[string]*machine{}, jobs: map[string]*job{}, packs: map[string]*pack{}, ever: map[string]bool{}, finals: newFinals(40000),
 	}
 	for n := range spread {
 		r.groups = append(r.groups, &group{n: n, key: state.GroupKey(n), part: defaultPart(n)})
+	}
+	for n := range shelves {
 		r.shelves = append(r.shelves, &shelf{key: state.ShelfKey(n)})
 	}
 	return r
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -28,6 +29,7 @@
 type accept struct {
 	job *state.Job
 	to  uint64
+	at  units.Micros // when it was asked for
 }
 
 const (
@@ -129,7 +131,7 @@
 // enter queues a submission that can run to be stored.
 func (c *Core) enter(q UserReq) {
 	q.Job.At = int64(c.wall)
-	c.accepts = append(c.accepts, accept{job: q.Job, to: q.To})
+	c.accepts = append(c.accepts, accept{job: q.Job, to: q.To, at: c.now})
 	c.sendAccepts()
 }
 
@@ -180,8 +182,28 @@
 	})
 }
 
-// sendAccepts stores waiting submissions, as many as one transaction takes. Each
-// controller begins at shelves of its own, so that they seldom meet.
+// byUrgency orders the shelves that submissions wait for: where many wait, and
+// have done so for long, one change accepts most. A fixed order let those for the
+// last shelves wait in vain whenever many came at once. Each controller begins at
+// shelves of its own, so that they seldom meet.
+func (c *Core) byUrgency(wait map[*shelf][]accept) []*shelf {
+	var out []*shelf
+	urgency := map[*shelf]units.Micros{}
+	first := c.memberRank() * len(c.rep.shelves) / c.cfg.Settings.Size
+	for i := range c.rep.shelves {
+		s := c.rep.shelves[(first+i)%len(c.rep.shelves)]
+		for _, a := range wait[s] {
+			urgency[s] += c.now - a.at + units.Second/4
+		}
+		if len(wait[s]) > 0 {
+			out = append(out, s)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *shelf) int { return cmp.Compare(urgency[b], urgency[a]) })
+	return out
+}
+
+// sendAccepts stores waiting submissions, as many as one transaction takes.
 func (c *Core) sendAccepts() {
 	if len(c.accepts) == 0 || c.accepting || c.rep.watchRev < c.acceptRev || !c.mayOwe() || c.now < c.acceptAt {
 		return
@@ -198,13 +220,8 @@
 	txn := &state.Txn{}
 	size := 0
 	var in []accept
-	first := c.memberRank() * len(c.rep.shelves) / c.cfg.Settings.Size
-	for i := range c.rep.shelves {
-		s := c.rep.shelves[(first+i)%len(c.rep.shelves)]
+	for _, s := range c.byUrgency(byShelf) {
 		wait := byShelf[s]
-		if len(wait) == 0 {
-			continue
-		}
 		if c.writing[s.key] || len(txn.Apply) >= c.cfg.Settings.State.TxnOps || size > txnBytes/2 {
 			c.accepts = append(c.accepts, wait...)
 			continue
@@ -221,7 +238,7 @@
 				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
 			case cost > c.valueMax()-headBytes:
 				c.answer(a.to, 422, map[string]string{"error": "too large to be stored"})
-			case twice || len(txn.Guards)+len(put)+2 > 3*c.cfg.Settings.State.TxnOps:
+			case twice || len(txn.Guards)+len(put)+2 > 4*c.cfg.Settings.State.TxnOps:
 				c.accepts = append(c.accepts, a)
 			case cost > room:
 				c.answer(a.to, 503, nil) // the shelf is full: others must end first
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -24,7 +24,7 @@
 // What the bound depends on.
 const (
 	start     = 64.0
-	least     = 8.0
+	least     = 32.0 // what waits together is stored together, so fewer would not be quicker
 	most      = 1024.0
 	pollShare = 0.6
 	// slow is how much longer than at rest a request may take before the bound
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -40,11 +40,16 @@
 	Finals   = "k/f/"
 )
 
-// Spread is how many documents the machines, and the jobs, are spread over. It
-// follows from how large a value may be, so that a thousand machines with eight
-// tasks each fill about half of what there is.
+// Spread is how many documents the machines are spread over. It follows from how
+// large a value may be, so that a thousand machines with eight tasks each fill a
+// third of what there is.
 func Spread(valueKB float64) int { return max(8, min(256, int(384/valueKB))) }
 
+// ShelfSpread is how many documents the jobs are spread over: few, so that one change
+// accepts as many as it can while submissions come at once, but enough that the
+// controllers seldom meet at one.
+func ShelfSpread(valueKB float64) int { return max(24, Spread(valueKB)/2) }
+
 // GroupOf is the group that a machine stands in. Names are numbered in order of
 // creation, so machines of one type, rented together, end up in many groups.
 func GroupOf(machine string, groups int) int { return number(machine) % groups }
