Accepts in smaller transactions, and more requests in progress at first

Of twelve shelves in one transaction one had often just been written by another controller, and all twelve changes were lost.

--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -222,7 +222,9 @@
 	var in []accept
 	for _, s := range c.byUrgency(byShelf) {
 		wait := byShelf[s]
-		if c.writing[s.key] || len(txn.Apply) >= c.cfg.Settings.State.TxnOps || size > txnBytes/2 {
+		// Of many shelves in one transaction, one that another controller has just
+		// written makes all fail.
+		if c.writing[s.key] || len(txn.Apply) >= max(1, c.cfg.Settings.State.TxnOps/2) || size > txnBytes/2 {
 			c.accepts = append(c.accepts, wait...)
 			continue
 		}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -23,7 +23,7 @@
 
 // What the bound depends on.
 const (
-	start     = 64.0
+	start     = 256.0
 	least     = 32.0 // what waits together is stored together, so fewer would not be quicker
 	most      = 1024.0
 	pollShare = 0.6
