Machines that die together are found together, and one change drops them and starts their services

When several machines of a zone do not answer all are asked, not only those whose reports are overdue.

--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -481,17 +481,52 @@
 	j.bind(n, bind{d.m, t.Attempt}) // taken back if the batch is not stored
 }
 
-// retirements writes down which machines are to be given back, and drops those
-// that are gone.
+// dropGone drops machines whose deletion the cloud has confirmed, and frees the
+// tasks of this partition's jobs that were there, so that the same change that
+// drops them can start them on other machines of the group. With a change for each
+// it took twice as long until the services of many lost machines ran again.
+func (b *batch) dropGone() {
+	for _, gd := range b.groups {
+		if !gd.own {
+			continue
+		}
+		for _, d := range gd.drafts {
+			if !d.m.gone || !b.room(gd) {
+				continue
+			}
+			b.touch(gd)
+			for _, t := range d.m.doc.Tasks {
+				j := b.c.live(t)
+				if j == nil || j.part != b.o.n {
+					continue
+				}
+				if was, ok := j.bound[t.Num]; ok && was.m == d.m && was.attempt == t.Attempt {
+					b.freed = append(b.freed, freedTask{j, t.Num, was})
+					j.unbind(t.Num)
+				}
+			}
+		}
+	}
+}
+
+// bindAgain undoes dropGone when the batch was not stored: until the entries are
+// off the document, who takes over would find them.
+func (b *batch) bindAgain() {
+	for _, f := range b.freed {
+		if _, ok := f.j.bound[f.num]; !ok && b.c.rep.machines[f.was.m.name] == f.was.m && f.was.m.lists(taskKey{f.j.id, f.num, f.was.attempt}) {
+			f.j.bind(f.num, f.was)
+		}
+	}
+}
+
+// retirements writes down which machines are to be given back.
 func (b *batch) retirements() {
 	for _, gd := range b.groups {
 		for _, d := range gd.drafts {
 			if !gd.own || !b.room(gd) {
 				continue
 			}
-			if d.m.gone {
-				b.touch(gd)
-			} else if d.m.rt != nil && d.m.rt.retire != "" && !d.m.rt.urgent && !d.m.doc.Retired {
+			if !d.m.gone && d.m.rt != nil && d.m.rt.retire != "" && !d.m.rt.urgent && !d.m.doc.Retired {
 				b.touch(gd)
 				d.retire, d.usable = true, false
 			}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -626,14 +626,17 @@
 		}
 		// The report is overdue, or a command was not answered: ask the machine
 		// itself, and again.
-		if (overdue || m.rt.unclear) && c.now-m.rt.probeAt > units.Second {
+		// In a zone where many fall silent all are asked, and those that do not answer
+		// once more.
+		asked := m.rt.failed > 0 && c.zoneAsked[m.doc.Zone] > 0
+		if (overdue || m.rt.unclear || asked) && c.now-m.rt.probeAt > units.Second {
 			m.rt.probeAt = c.now
 			c.inspect(m)
 		}
-		if overdue && m.rt.failed > 0 {
+		if m.rt.failed > 0 {
 			z.failing++
 		}
-		if overdue && m.rt.failed >= 2 {
+		if (overdue || asked) && m.rt.failed >= 2 {
 			silent = append(silent, m)
 		}
 	}
@@ -677,26 +680,25 @@
 }
 
 // judgeZones notices zones that may be cut off. When several machines of a zone
-// fall silent at once, all of them there are asked: if next to none answers, it is
-// the way to the zone that is lost. The machines run on behind the cut, their
+// fall silent at once, all of them there are asked, so that those that have died
+// with them are known before their reports are overdue. If next to none answers, it
+// is the way to the zone that is lost: the machines run on behind the cut, their
 // tasks until their leases end, and all of them are back after it; deleting them
 // once took half of a fleet's machines away for minutes. Of those that are really
 // gone the cloud's list will tell.
 func (c *Core) judgeZones(zones map[string]*zoneView) {
+	several := func(z *zoneView) bool { return z != nil && z.failing >= max(3, len(z.machines)/20) }
 	for zone := range c.zoneAsked {
-		if z := zones[zone]; z == nil || z.failing == 0 {
+		if !several(zones[zone]) {
 			delete(c.zoneAsked, zone)
 			delete(c.zoneDoubt, zone)
 		}
 	}
-	if len(zones) < 2 {
-		return // with one zone, a silent majority is doubted anyway
-	}
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		z := zones[zone]
 		asked, open := c.zoneAsked[zone]
 		switch {
-		case !open && z.failing < max(3, len(z.machines)/20):
+		case !several(z):
 		case !open || c.now-asked > zoneAgain:
 			c.zoneAsked[zone], c.zoneDoubt[zone] = c.now, true
 			for _, m := range z.machines {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -24,6 +24,14 @@
 	failed  map[holeKey]bool // what found no room in this batch, even by preemption
 	picked  bool             // arrays go to some groups only
 	attempt uint64           // of what is placed in this batch; 0: nothing yet
+	freed   []freedTask      // off machines that are gone
+}
+
+// freedTask is a task whose machine this batch drops, and where it was.
+type freedTask struct {
+	j   *job
+	num int
+	was bind
 }
 
 // savedRuns are task lengths that a commit makes part of the stored average.
@@ -73,6 +81,7 @@
 		}
 	}
 	b.open()
+	b.dropGone()
 	jobs := c.partJobs(p)
 	c.placeServices(b, jobs)
 	b.retirements()
@@ -191,6 +200,7 @@
 			for _, gd := range changed {
 				gd.takeBack()
 			}
+			b.bindAgain()
 			o.pauseTo = c.now + 100*units.Millisecond
 			if res == conflict {
 				o.needRev = rev // the replica must first show what failed it
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -107,6 +107,9 @@
 		if !d.gd.own {
 			loss += 10
 		}
+		if !d.gd.changed {
+			loss += 10 // one more change
+		}
 		if j.spec.Service && c.rented(d.m.name) {
 			loss += 30
 		}
