--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -263,9 +263,16 @@
 	if !b.within(j.spec.Team, j.spec.CPUs, j.spec.GPUs) {
 		return false
 	}
-	return c.preempt(b, j, n, false, func(v *job) bool {
+	hole := holeOf(j)
+	hole.recall = true
+	if b.failed[hole] {
+		return false
+	}
+	found := c.preempt(b, j, n, false, func(v *job) bool {
 		return v.spec.Team != j.spec.Team && !b.within(v.spec.Team, 0, 0)
 	})
+	b.failed[hole] = !found
+	return found
 }
 
 func (j *job) doneCount() int {
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -67,9 +67,12 @@
 			}
 		})
 	}
-	if len(c.owned) > 0 && c.every("idle", units.Second) {
+	look := len(c.owned) > 0 && c.every("idle", units.Second)
+	var lacking []shortfall
+	if look {
 		short, bound := 0.0, 0.0
-		for _, s := range c.shortfalls(true) {
+		lacking = c.shortfalls(true)
+		for _, s := range lacking {
 			short += float64(s.n) * s.j.spec.CPUs
 		}
 		for _, u := range c.teamUsage() {
@@ -97,9 +100,9 @@
 		k.hires = map[string]*hire{}
 		k.listed, k.listAt = map[string]provision.Listed{}, 0
 	}
-	if c.every("hire", units.Second) {
+	if look {
 		c.settleHires()
-		c.rent()
+		c.rent(lacking)
 	}
 }
 
@@ -402,9 +405,9 @@
 	return sum
 }
 
-// rent asks for machines for waiting tasks, in several requests a round when
-// much is wanted, each for the offer that is best then.
-func (c *Core) rent() {
+// rent asks for machines for the tasks that find no room, in several requests a
+// round when much is wanted, each for the offer that is best then.
+func (c *Core) rent(short []shortfall) {
 	k := &c.cloud
 	settle := units.FromSeconds(2*c.cfg.Settings.Cloud.ListLagS) + 2*units.Second
 	// A new keeper first learns what its predecessor rented.
@@ -414,7 +417,6 @@
 	if k.listAt == 0 {
 		return // machines that are up and have not reported yet are seen in the list only
 	}
-	short := c.shortfalls(true)
 	want := c.unmet(short)
 	most := min(mostHired, max(c.pol.HireMost, len(c.rep.machines)/hirePart))
 	for calls := max(1, int(c.cfg.Settings.Cloud.RPS/2)); calls > 0 && len(k.hires) < mostHires; calls-- {
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -50,11 +50,12 @@
 	grade           int
 	spot, apart     bool
 	team            string
+	recall          bool // within a guarantee, from teams beyond theirs
 }
 
 func holeOf(j *job) holeKey {
 	s := &j.spec
-	k := holeKey{s.CPUs, s.GPUs, s.MemGB, s.Zone, strings.Join(s.Types, ","), s.Grade, s.Spot, s.Spread || s.OneZone, s.Team}
+	k := holeKey{s.CPUs, s.GPUs, s.MemGB, s.Zone, strings.Join(s.Types, ","), s.Grade, s.Spot, s.Spread || s.OneZone, s.Team, false}
 	if k.apart {
 		k.team = s.Team + "/" + j.id // depends on where its other tasks are
 	}
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -75,11 +75,98 @@
 	return b.String()
 }
 
-// TestChaos plays random days. CHAOS=FROM-TO plays other seeds than the fixed
-// ones.
-func TestChaos(t *testing.T) {
-	from, to := 1, 20
-	if v := os.Getenv("CHAOS"); v != "" {
+// fleet writes a scenario of a fleet that fills many documents, in two zones, with
+// troubles that take many machines or all controllers at once, within moments of
+// each other.
+func fleet(seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	var b strings.Builder
+	pick := func(words ...string) string { return words[rng.IntN(len(words))] }
+	fmt.Fprintf(&b, "set nodes=5 end=460 seed=%d flaky=%.3f copies=%s report=%s lease=31 cancel=56 value=%s writes=35 ops=%s\n", seed, rng.Float64()*0.02,
+		pick("0", "0.02"), pick("6", "10"), pick("2", "4", "16"), pick("12", "32"))
+	b.WriteString("team red cpus=300 max=900\nteam blue\nteam green cpus=200 max=700\n")
+	b.WriteString("type big cpus=32 mem=128 zones=a,b count=20 spot=6 boot=25 fetch=1\ntype small cpus=8 mem=32 zones=a,b count=120 spot=30 boot=20 fetch=1\n")
+	b.WriteString("machines small n=70 zone=a\nmachines small n=60 zone=b\nmachines big n=10 zone=a\nmachines big n=6 zone=b\n")
+	// 130 services at the start, later more; arrays throughout, and a burst of them.
+	service := func(at float64, id, count int) {
+		fmt.Fprintf(&b, "at %.1f submit j-%d count=%d kind=service class=live n=%d team=%s cpus=2 mem=4 gb=0.5 image=img%d spread=%s\n", at, id, count,
+			2+rng.IntN(5), pick("red", "blue", "green"), rng.IntN(6), pick("yes", "no"))
+	}
+	array := func(at float64, id, n int) {
+		fmt.Fprintf(&b, "at %.1f submit j-%d class=%s n=%d team=%s run=%d cpus=%s mem=4 spot=yes grade=%s ckpt=%s save=2 gb=0.5 image=img%d broken=%s\n", at, id,
+			pick("tiles", "logs"), n, pick("red", "blue", "green"), 10+rng.IntN(40), pick("1", "2", "4"), pick("standard", "best_effort"), pick("0", "10"), 6+rng.IntN(6),
+			pick("no", "no", "no", "no", "no", "no", "no", "yes"))
+	}
+	for i := range 13 {
+		service(1+rng.Float64(), 1000+10*i, 10)
+	}
+	for i := range 45 {
+		service(20+rng.Float64()*240, 2000+i, 1)
+	}
+	size := func() int { return 1 + int(150*rng.Float64()*rng.Float64()) }
+	for i := range 60 {
+		array(1+rng.Float64()*240, 3000+i, size())
+	}
+	burst := 60 + rng.Float64()*100
+	for i := range 25 {
+		array(burst+rng.Float64()*40, 4000+i, size())
+	}
+	for i := range 12 {
+		id := 2000 + rng.IntN(45)
+		if i%2 == 0 {
+			id = 3000 + rng.IntN(60)
+		}
+		fmt.Fprintf(&b, "at %.1f cancel j-%06d\n", 262+rng.Float64()*20, id)
+		fmt.Fprintf(&b, "at %.1f repeat j-%06d broken=%s\n", 262+rng.Float64()*190, 3000+rng.IntN(60), pick("yes", "no"))
+	}
+	at := 20.0
+	for at < 300 {
+		for n := 1 + rng.IntN(3); n > 0; n-- { // some together
+			t, d := at+rng.Float64()*8, 5+rng.Float64()*60
+			node := fmt.Sprintf("node%d", rng.IntN(5))
+			switch rng.IntN(13) {
+			case 0, 1:
+				fmt.Fprintf(&b, "at %.1f crash node0,node1,node2,node3,node4 for=%.2f\n", t, pick2(rng, 0.2, 6))
+			case 2:
+				fmt.Fprintf(&b, "at %.1f crash %s for=%.2f\nat %.1f crash %s for=%.2f\n", t, node, pick2(rng, 0.2, 6), t+rng.Float64()*7, node, pick2(rng, 0.2, 6))
+			case 3:
+				fmt.Fprintf(&b, "at %.1f roll every=%.1f for=%.2f\n", t, 2+rng.Float64()*13, pick2(rng, 0.2, 6))
+			case 4:
+				fmt.Fprintf(&b, "at %.1f zonecut %s for=%.1f mode=%s\n", t, pick("a", "b"), d, pick("hold", "drop"))
+			case 5:
+				fmt.Fprintf(&b, "at %.1f lose n=%d for=%.1f mode=%s\n", t, 5+rng.IntN(50), d, pick("hold", "drop"))
+			case 6:
+				fmt.Fprintf(&b, "at %.1f hang any n=%d for=%.1f\n", t, 5+rng.IntN(30), d)
+			case 7:
+				fmt.Fprintf(&b, "at %.1f die any n=%d for=30\n", t, 2+rng.IntN(18))
+			case 8:
+				fmt.Fprintf(&b, "at %.1f freeze %s for=%.1f\n", t, node, d)
+			case 9:
+				fmt.Fprintf(&b, "at %.1f outage for=%.1f\n", t, d/3)
+			case 10:
+				fmt.Fprintf(&b, "at %.1f cut %s state for=%.1f mode=%s\nat %.1f cut %s node* for=%.1f\n", t, node, d, pick("hold", "drop"), t, node, d)
+			case 11:
+				fmt.Fprintf(&b, "at %.1f cut %s n-* for=%.1f mode=%s\nat %.1f reboot any n=%d\n", t, node, d, pick("hold", "drop"), t, 1+rng.IntN(8))
+			case 12:
+				fmt.Fprintf(&b, "at %.1f cut node* node* for=%.1f\nat %.1f refuse %s for=%.1f\n", t, d, t, node, d)
+			}
+		}
+		at += 15 + rng.Float64()*45
+	}
+	return b.String()
+}
+
+// pick2 is about one of two lengths.
+func pick2(rng *rand.Rand, x, y float64) float64 {
+	if rng.IntN(2) == 0 {
+		return x * (1 + rng.Float64())
+	}
+	return y * (1 + rng.Float64())
+}
+
+// playSeeds plays random days; the variable named env may hold other seeds, FROM-TO.
+func playSeeds(t *testing.T, write func(seed uint64) string, env string, from, to int) {
+	if v := os.Getenv(env); v != "" {
 		a, z, _ := strings.Cut(v, "-")
 		from, _ = strconv.Atoi(a)
 		to, _ = strconv.Atoi(z)
@@ -87,7 +174,7 @@
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			text := chaos(uint64(seed))
+			text := write(uint64(seed))
 			s, err := Parse(strings.NewReader(text))
 			if err != nil {
 				t.Fatalf("%v\n%s", err, text)
@@ -106,3 +193,9 @@
 		})
 	}
 }
+
+// TestChaos plays random days of small fleets.
+func TestChaos(t *testing.T) { playSeeds(t, chaos, "CHAOS", 1, 20) }
+
+// TestFleets plays random days of large ones.
+func TestFleets(t *testing.T) { playSeeds(t, fleet, "FLEETS", 1, 4) }
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -26,13 +26,18 @@
 	on       map[string]map[string]bool // machine -> tasks on it
 	where    map[string]provision.Listed
 	task     map[string]string       // task -> machine
+	use      map[string]*teamUse     // what each team's tasks take
 	begun    map[string]units.Micros // when each job's first task started
 	asked    int
 	served   int
 }
 
+// teamUse is what the tasks of a team that are on machines take.
+type teamUse struct{ cpus, gpus float64 }
+
 // checked is what the checker knows of a job.
 type checked struct {
+	on        map[int]string // its tasks that are on machines
 	spec      *state.Job
 	accepted  bool
 	at        units.Micros // when it was accepted
@@ -49,7 +54,7 @@
 // NewChecker returns a checker that knows of no job.
 func NewChecker() *Checker {
 	return &Checker{limits: map[string]float64{}, gpuLimit: map[string]float64{}, jobs: map[string]*checked{},
-		on: map[string]map[string]bool{}, where: map[string]provision.Listed{}, task: map[string]string{}, begun: map[string]units.Micros{}, CancelIn: 47 * units.Second}
+		on: map[string]map[string]bool{}, where: map[string]provision.Listed{}, task: map[string]string{}, use: map[string]*teamUse{}, begun: map[string]units.Micros{}, CancelIn: 47 * units.Second}
 }
 
 func (c *Checker) fail(rule, format string, args ...any) {
@@ -59,7 +64,7 @@
 // Submitted registers a job that a user has submitted.
 func (c *Checker) Submitted(j *state.Job) {
 	if c.jobs[j.ID] == nil {
-		c.jobs[j.ID] = &checked{spec: j, done: map[int]bool{}}
+		c.jobs[j.ID] = &checked{spec: j, done: map[int]bool{}, on: map[int]string{}}
 	}
 }
 
@@ -88,23 +93,19 @@
 		c.fail("wrong_place", "%s on %s (%s, %s, spot %v)", id, machine, l.Type, l.Zone, l.Spot)
 	}
 	same := 1
-	cpus, gpus := s.CPUs, s.GPUs
-	for _, t := range c.sortedTasks() {
-		o := c.jobOf(t)
-		z := c.where[c.task[t]].Zone
-		if o.spec.Team == s.Team {
-			cpus += o.spec.CPUs
-			gpus += o.spec.GPUs
-		}
-		if o != j {
-			continue
-		}
-		if z == l.Zone {
+	for _, o := range slices.Sorted(maps.Keys(j.on)) {
+		if z := c.where[j.on[o]].Zone; z == l.Zone {
 			same++
 		} else if s.OneZone {
-			c.fail("wrong_place", "%s in %s while %s is in %s", id, l.Zone, t, z)
+			c.fail("wrong_place", "%s in %s while %s/%d is in %s", id, l.Zone, job, o, z)
 		}
 	}
+	u := c.use[s.Team]
+	if u == nil {
+		u = &teamUse{}
+		c.use[s.Team] = u
+	}
+	cpus, gpus := u.cpus+s.CPUs, u.gpus+s.GPUs
 	if s.Spread && same > (s.Tasks+1)/2 {
 		c.fail("wrong_place", "%s is number %d of %d in %s", id, same, s.Tasks, l.Zone)
 	}
@@ -122,7 +123,11 @@
 	}
 	c.on[machine][id] = true
 	c.where[machine] = l
+	if _, ok := c.task[id]; !ok {
+		u.cpus, u.gpus = cpus, gpus
+	}
 	c.task[id] = machine
+	j.on[n] = machine
 }
 
 // ofTeam lists where a team's tasks are.
@@ -155,15 +160,22 @@
 	delete(c.on[machine], id)
 	if c.task[id] == machine {
 		delete(c.task, id)
+		j := c.jobs[job]
+		delete(j.on, n)
+		c.use[j.spec.Team].cpus -= j.spec.CPUs
+		c.use[j.spec.Team].gpus -= j.spec.GPUs
 	}
 }
 
 // Tick looks for what time alone breaks.
 func (c *Checker) Tick() {
-	for _, t := range c.sortedTasks() {
-		j := c.jobOf(t)
-		if j.cancelled > 0 && c.now > j.cancelled+c.CancelIn {
-			c.fail("ran_cancelled", "%s is on %s %.1f s after its user was told", t, c.task[t], (c.now - j.cancelled).Seconds())
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		if j.cancelled == 0 || c.now <= j.cancelled+c.CancelIn {
+			continue
+		}
+		for _, n := range slices.Sorted(maps.Keys(j.on)) {
+			c.fail("ran_cancelled", "%s/%d is on %s %.1f s after its user was told", id, n, j.on[n], (c.now - j.cancelled).Seconds())
 			j.cancelled = c.now // once is enough
 		}
 	}
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -269,6 +269,18 @@
 		}
 	case "cut":
 		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: a.val("mode", "drop") == "hold", deaf: a.val("mode", "drop") == "deaf"})
+	case "freeze":
+		n := w.node(a.str(0))
+		if n == nil {
+			return fmt.Errorf("no node %q", a.str(0))
+		}
+		n.frozen = w.now + length
+	case "lose": // the way to some machines
+		some := map[string]bool{}
+		for _, k := range w.any(int(a.num("n", 1))) {
+			some[k.name] = true
+		}
+		w.cuts = append(w.cuts, &cut{some: some, until: w.now + length, hold: a.val("mode", "drop") == "hold"})
 	case "zonecut":
 		w.cuts = append(w.cuts, &cut{zone: a.str(0), until: w.now + length, hold: a.val("mode", "drop") == "hold"})
 	case "refuse":
@@ -279,11 +291,16 @@
 		w.cloud.down = true
 		w.after(length, func() { w.cloud.down = false })
 	case "die", "hang", "sick", "slow", "take", "notice", "reboot":
-		k := w.pick(a.str(0))
-		if k == nil {
-			return fmt.Errorf("no machine %q", a.str(0))
+		ks := []*worker{w.pick(a.str(0))}
+		if a.str(0) == "any" {
+			ks = w.any(int(a.num("n", 1)))
+		}
+		for _, k := range ks {
+			if k == nil {
+				return fmt.Errorf("no machine %q", a.str(0))
+			}
+			w.harm(do, k, a, length)
 		}
-		w.harm(do, k, a, length)
 	default:
 		return fmt.Errorf("unknown step")
 	}
@@ -313,6 +330,18 @@
 	return best
 }
 
+// any draws so many machines.
+func (w *World) any(n int) []*worker {
+	var up []*worker
+	for _, name := range w.names {
+		if k := w.workers[name]; k != nil {
+			up = append(up, k)
+		}
+	}
+	w.rng.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
+	return up[:min(n, len(up))]
+}
+
 func (w *World) harm(do string, k *worker, a *args, length units.Micros) {
 	switch do {
 	case "die":
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -117,6 +117,21 @@
 		f()
 	}
 	k.late = nil
+	due := false
+	for _, t := range k.tasks {
+		due = due || k.sick || t.state == workers.Pulling && now >= t.ready || (t.state == workers.Running || t.state == workers.Flushing) && now >= t.ends
+	}
+	if due {
+		k.advance()
+	}
+	if !k.inFlight && (now >= k.nextAt || k.changed && now-k.sentAt >= 500*units.Millisecond) {
+		k.send()
+	}
+}
+
+// advance moves every task on whose time has come.
+func (k *worker) advance() {
+	now := k.w.now
 	for _, t := range k.sorted() {
 		switch {
 		case t.state == workers.Pulling && now >= t.ready:
@@ -147,9 +162,6 @@
 			k.exit(t, workers.CauseHalted)
 		}
 	}
-	if !k.inFlight && (now >= k.nextAt || k.changed && now-k.sentAt >= 500*units.Millisecond) {
-		k.send()
-	}
 }
 
 // expire ends the session when the last answered report is too old.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -65,7 +65,8 @@
 // cut is an interruption between two kinds of host.
 type cut struct {
 	a, b  string
-	zone  string // instead of a and b: all in that zone from all that is not
+	some  map[string]bool // instead of a and b: these machines from everything
+	zone  string          // instead of a and b: all in that zone from all that is not
 	until units.Micros
 	hold  bool
 	deaf  bool // only what b sends to a is lost
@@ -89,6 +90,7 @@
 	ever    bool
 	good    int
 	bad     int
+	frozen  units.Micros // it stands still until then
 	backAt  units.Micros
 }
 
@@ -137,6 +139,12 @@
 // blocked finds an interruption of what one host sends to another.
 func (w *World) blocked(from, to string) *cut {
 	for _, c := range w.cuts {
+		if c.some != nil {
+			if w.now < c.until && (c.some[from] || c.some[to]) {
+				return c
+			}
+			continue
+		}
 		if c.zone != "" {
 			if w.now < c.until && (w.zoneOf(from) == c.zone) != (w.zoneOf(to) == c.zone) {
 				return c
@@ -269,7 +277,7 @@
 }
 
 func (n *controller) crash() {
-	n.up = false
+	n.up, n.frozen = false, 0
 	n.gen++
 	n.inbox = nil
 }
@@ -289,7 +297,7 @@
 
 // wake gives the core its messages and carries out the effects.
 func (n *controller) wake() {
-	if !n.up {
+	if !n.up || n.w.now < n.frozen {
 		return
 	}
 	n.due = false
