--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -620,6 +620,7 @@
 		overdue := c.now-last > report*13/10
 		if c.now-last < report*3/2 {
 			hearing++
+			z.hearing++
 			if m.rt.seen < c.token(m) && m.rt.heardAt > 0 {
 				c.poke(m) // raise its token, so that absence can prove something
 			}
@@ -665,7 +666,7 @@
 	}
 	var gone []*machine
 	for _, m := range silent {
-		if len(gone) <= total/8 && !c.zoneDoubt[m.doc.Zone] && !c.othersHear(m.name) {
+		if len(gone) <= total/8 && !c.zoneDoubt[m.doc.Zone] && !c.othersHear(m.name, zones[m.doc.Zone].clear()) {
 			gone = append(gone, m)
 		}
 	}
@@ -676,7 +677,8 @@
 // zoneView is what an owner sees of its machines in one zone.
 type zoneView struct {
 	machines []*machine
-	failing  int // overdue, and did not answer a question
+	hearing  int // that report
+	failing  int // that did not answer a question
 }
 
 // judgeZones notices zones that may be cut off. When several machines of a zone
@@ -700,7 +702,10 @@
 		switch {
 		case !several(z):
 		case !open || c.now-asked > zoneAgain:
-			c.zoneAsked[zone], c.zoneDoubt[zone] = c.now, true
+			c.zoneAsked[zone] = c.now
+			// Until the first answers. With one zone alone, a silent majority is doubted
+			// anyway.
+			c.zoneDoubt[zone] = len(zones) > 1 && (!open || c.zoneDoubt[zone])
 			for _, m := range z.machines {
 				if c.now-m.rt.heardAt > units.Second {
 					m.rt.probeAt = c.now
@@ -714,12 +719,12 @@
 					answered++
 				}
 			}
-			doubt := answered*4 < len(z.machines)
+			doubt := len(zones) > 1 && answered*4 < len(z.machines)
 			if doubt {
 				c.cloud.doubtAt = c.now
 			}
 			if doubt && c.every("zone"+zone, 10*units.Second) {
-				c.log.Warn("a zone seems cut off", "zone", zone, "machines", len(z.machines), "answer", answered)
+				c.log.Warn("zone seems cut off", "zone", zone, "machines", len(z.machines), "answer", answered)
 			}
 			c.zoneDoubt[zone] = doubt
 		}
@@ -779,9 +784,13 @@
 	return out
 }
 
-// othersHear reports whether a living controller hears the machine, or cannot
-// be asked.
-func (c *Core) othersHear(name string) bool {
+// clear reports whether the way to the zone is open: most machines there are heard.
+func (z *zoneView) clear() bool { return len(z.machines) >= 4 && z.hearing*2 >= len(z.machines) }
+
+// othersHear reports whether a living controller hears the machine. One that cannot
+// be asked might, unless the way to the machine's zone is clear: while controllers
+// refuse each other's connections, nothing that died would be replaced.
+func (c *Core) othersHear(name string, clear bool) bool {
 	for key := range c.rep.nodes {
 		member, inc, _ := strings.Cut(strings.TrimPrefix(key, state.Nodes), "/")
 		if member == c.cfg.Member {
@@ -789,7 +798,10 @@
 		}
 		p, ok := c.peers[member]
 		if !ok || p.beat.Inc != inc || c.now-p.at > 4*units.Second {
-			return true
+			if !clear {
+				return true
+			}
+			continue
 		}
 		if ago, ok := p.beat.Heard[name]; ok && units.Micros(ago) < 2*c.cfg.Settings.Report() {
 			return true
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -184,7 +184,7 @@
 	h := c.machine(e.Addr)
 	// Whoever commands the whole fleet has a connection from each worker as well:
 	// kept ones to each of them would be more than there are sockets.
-	last := c.open.Load() > int64(c.n.cfg.Settings.Limits.Sockets/6)
+	last := c.open.Load() > int64(c.n.cfg.Settings.Limits.Sockets/10)
 	if e.Cmd == nil {
 		d.Status = do(h, "GET", "/inspect", nil, workerWithin, &r, last)
 	} else {
