Jobs that fail everywhere do not take machines out of use, and groups stay where they were passed

Some jobs submitted with a mistake had failed on each machine, two of them on nearly all, and a machine that fails tasks of two jobs gets no more work. Two owners, each of which thought that the other lacked room, passed the same groups to and fro 387 times meanwhile.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -124,7 +124,7 @@
 	}
 	passed := 0
 	for _, gd := range b.groups {
-		if !gd.own || gd.changed || !b.room(gd) || lack[to] <= 0 || passed >= mostPassed || !c.unused(gd) {
+		if !gd.own || gd.changed || c.now-gd.g.movedAt < passAgain || !b.room(gd) || lack[to] <= 0 || passed >= mostPassed || !c.unused(gd) {
 			continue
 		}
 		passed++
@@ -139,6 +139,11 @@
 	}
 }
 
+// passAgain is how long a group stays where it was passed to. Two owners may each
+// think that the other lacks room, since only the owner knows which jobs back off;
+// they once handed the same groups to and fro without end.
+const passAgain = 30 * units.Second
+
 // mostPassed is how many groups are passed on together: their machines take no
 // new work until their new commander has heard them.
 const mostPassed = 2
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -64,10 +64,10 @@
 	images   map[string]units.Micros
 	noticed  bool
 	noticeAt units.Micros
-	ended    map[taskKey]int         // tasks seen to complete: 1 plus the tenths of a second that each ran
-	errors   map[string]units.Micros // jobs with a task that failed here
-	toldTok  uint64                  // token of the latest answer
-	unheard  int                     // reports in a row that show that answers do not arrive
+	ended    map[taskKey]int // tasks seen to complete: 1 plus the tenths of a second that each ran
+	errors   map[string]bool // jobs with a task that failed here
+	toldTok  uint64          // token of the latest answer
+	unheard  int             // reports in a row that show that answers do not arrive
 	probing  bool
 	probeAt  units.Micros
 	probeBad units.Micros // when a probe last failed
@@ -98,7 +98,7 @@
 		owner: o, since: c.now, idleAt: c.now,
 		leaseEnd: c.now + c.cfg.Settings.AnswerBound() + l + leaseMargin(l),
 		pieces:   map[taskKey]workers.Piece{}, runs: map[taskKey]runMark{},
-		images: map[string]units.Micros{}, errors: map[string]units.Micros{}, ended: map[taskKey]int{},
+		images: map[string]units.Micros{}, errors: map[string]bool{}, ended: map[taskKey]int{},
 	}
 	c.inspect(m)
 }
@@ -348,6 +348,11 @@
 			return
 		}
 		j.failures = 0
+		if c.faulty(j) { // it was not its own fault
+			j.wellOnce = true
+			c.blame(j)
+		}
+		j.wellOnce = true
 		// Only a task seen from start to end tells its length; and only tasks
 		// that completed: failed ones end in seconds and would make the job
 		// look tiny.
@@ -361,17 +366,55 @@
 		}
 	case workers.CauseError:
 		c.failed(j)
-		m.rt.errors[j.id] = c.now
-		if len(m.rt.errors) >= 2 && !m.rt.sick {
-			m.rt.sick = true
-			c.log.Warn("machine fails tasks of several jobs, no more work for it", "machine", m.name)
+		m.rt.errors[j.id] = true
+		if j.failedOn == nil {
+			j.failedOn = map[string]bool{}
 		}
+		j.failedOn[m.name] = true
+		c.blame(j)
 		c.log.Info("task failed", "task", k.task(), "machine", m.name, "failures", j.failures)
 	default:
 		c.log.Debug("task ended", "task", k.task(), "machine", m.name, "cause", p.Cause)
 	}
 }
 
+// faulty reports whether the job itself seems to be at fault: it failed on several
+// machines, or on all that there are, and completed on none.
+func (c *Core) faulty(j *job) bool {
+	if len(j.failedOn) < 2 || j.wellOnce || j.doneCount() > 0 {
+		return false
+	}
+	mine := 0
+	for _, m := range c.rep.machines {
+		if m.rt != nil && m.rt.heardAt > 0 {
+			mine++
+		}
+	}
+	return len(j.failedOn) >= min(3, mine)
+}
+
+// blame judges the machines on which a job has failed. One that fails tasks of
+// several jobs gets no more work; but jobs that fail everywhere do not count. When
+// they did, a few jobs submitted with a mistake took all machines out of use.
+func (c *Core) blame(j *job) {
+	for _, name := range slices.Sorted(maps.Keys(j.failedOn)) {
+		m := c.rep.machines[name]
+		if m == nil || m.rt == nil {
+			continue
+		}
+		n := 0
+		for id := range m.rt.errors {
+			if o := c.rep.jobs[id]; o == nil || !c.faulty(o) {
+				n++
+			}
+		}
+		if sick := n >= 2; sick != m.rt.sick {
+			m.rt.sick = sick
+			c.log.Warn("machine fails tasks of several jobs", "machine", name, "no_more_work", sick)
+		}
+	}
+}
+
 // failed backs off a job one of whose tasks failed.
 func (c *Core) failed(j *job) {
 	j.failures++
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -49,7 +49,8 @@
 	size     int // of the value as stored
 	part     int
 	handover uint64
-	members  []*machine // in order of their names
+	members  []*machine   // in order of their names
+	movedAt  units.Micros // when it was last seen to change partitions
 }
 
 // shelf is a document of accepted jobs.
@@ -88,6 +89,8 @@
 	runCount   int
 	share      float64
 	failures   int
+	failedOn   map[string]bool // machines of this node on which it failed
+	wellOnce   bool            // one of its tasks completed
 	retryAt    units.Micros
 	observed   units.Micros // average with what running tasks have taken, and when it was worked out
 	observedAt units.Micros
@@ -314,6 +317,9 @@
 		return
 	}
 	moved := g.part != doc.Part
+	if moved {
+		g.movedAt = c.now
+	}
 	g.stamp, g.size, g.part, g.handover = stamp, len(val), doc.Part, doc.Handover
 	before := g.members
 	g.members = make([]*machine, 0, len(doc.Machines))
