A later attempt is never hidden by an earlier one that the watch shows once more; evacuation and moves work again

Test TestLoadBesideChanges.

Evacuation of machines with a notice, and moves of services off emptied machines, looked among the machines that take work, where such machines never are.

--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -116,8 +116,16 @@
 	return j.live
 }
 
-// bind notes where a task may be.
-func (j *job) bind(n int, b bind) { j.bound[n], j.live = b, -1 }
+// bind notes where a task may be. Of two entries the one with the later attempt is
+// the true one: while a copy is loaded, documents that were read late stand beside
+// earlier changes of others, and those are shown once more. An earlier entry that
+// came and went that way once made a running task look free.
+func (j *job) bind(n int, b bind) {
+	if was, ok := j.bound[n]; ok && was.attempt > b.attempt {
+		return
+	}
+	j.bound[n], j.live = b, -1
+}
 
 // unbind notes that a task is free.
 func (j *job) unbind(n int) {
--- /dev/null
+++ b/internal/core/replica_test.go
@@ -0,0 +1,44 @@
+package core
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+
+	"frostdock.example/frostdock/internal/config"
+	"frostdock.example/frostdock/internal/policy"
+	"frostdock.example/frostdock/internal/state"
+)
+
+// TestLoadBesideChanges loads a copy in pages that are read far apart, as through a
+// cut that holds messages back: a document of the last page is newer than changes of
+// others that the watch shows after it. The task must stay where it is.
+func TestLoadBesideChanges(t *testing.T) {
+	cfg := &config.Config{Member: "a"}
+	cfg.Settings.Size, cfg.Settings.State.ValueKB = 1, 4
+	c := New(cfg, policy.Default(), slog.New(slog.NewTextHandler(io.Discard, nil)), "test")
+	group := func(stamp uint64, machine string, tasks ...state.Task) {
+		t.Helper()
+		doc := state.Group{Machines: []state.Machine{{Name: machine, Addr: "x", Tasks: tasks}}}
+		raw, err := json.Marshal(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.apply(c.rep.groupOf(machine).key, raw, stamp, false)
+	}
+	first := state.Task{Job: "j-000001", Num: 3, Attempt: 1<<28 | 5}
+	second := state.Task{Job: "j-000001", Num: 3, Attempt: 1<<28 | 9}
+	group(100, "n-000010")
+	group(140, "n-000060", second) // read late
+	group(110, "n-000010", first)  // the watch catches up
+	group(120, "n-000010")
+	b, ok := c.rep.jobs["j-000001"].bound[3]
+	if !ok || b.m.name != "n-000060" || b.attempt != second.Attempt {
+		t.Fatalf("bound: %v, to %+v", ok, b)
+	}
+	group(150, "n-000060")
+	if j := c.rep.jobs["j-000001"]; j != nil && len(j.bound) > 0 {
+		t.Errorf("still bound: %+v", j.bound)
+	}
+}
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -167,10 +167,7 @@
 // back: services leave at once, tasks with checkpoints as late as they can.
 // Others run on, since they may complete in time.
 func (c *Core) evacuate(b *batch) {
-	for _, d := range b.drafts {
-		if !d.gd.own || !d.m.rt.noticed {
-			continue
-		}
+	for _, d := range b.leaving(func(m *machine) bool { return m.rt.noticed }) {
 		left := d.m.rt.noticeAt - c.now
 		for _, t := range d.keep {
 			j := c.rep.jobs[t.Job]
@@ -185,6 +182,21 @@
 	}
 }
 
+// leaving lists this partition's machines that are to be emptied, for one reason or
+// another. They take no more work, so they are not among those that tasks are
+// placed on; looked for there, nothing was ever saved or moved.
+func (b *batch) leaving(why func(*machine) bool) []*draft {
+	var out []*draft
+	for _, gd := range b.groups {
+		for _, d := range gd.drafts {
+			if gd.own && d.m.rt != nil && !d.m.gone && why(d.m) {
+				out = append(out, d)
+			}
+		}
+	}
+	return out
+}
+
 // moveServices takes services off machines that are to be given back, where
 // another machine has their image and room, so that they are away for a moment
 // only. Those that have just started stay for now.
@@ -193,10 +205,7 @@
 		return
 	}
 	moves := 0
-	for _, d := range b.drafts {
-		if !d.gd.own || !d.m.rt.draining || !c.settled(d.m) {
-			continue
-		}
+	for _, d := range b.leaving(func(m *machine) bool { return m.rt.draining && c.settled(m) }) {
 		for _, t := range d.keep {
 			j := c.rep.jobs[t.Job]
 			k := keyOf(t)
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -53,8 +53,8 @@
 		// users ask: together they must stay below the socket limit.
 		// Commands have a part of their own, since questions to a zone that is cut off
 		// all take as long as they may.
-		asking:  make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/12)),
-		telling: make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/12)),
+		asking:  make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/16)),
+		telling: make(chan struct{}, max(8, n.cfg.Settings.Limits.Sockets/16)),
 	}
 }
 
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -44,13 +44,15 @@
 		return fmt.Errorf("listen for users and workers: %w", err)
 	}
 	s := &fasthttp.Server{
-		Handler:               w.handle,
-		Name:                  "frostdock",
-		MaxRequestBodySize:    4 * intake.MaxBody,
-		ReadTimeout:           70 * time.Second,
-		WriteTimeout:          5 * time.Second,
-		IdleTimeout:           90 * time.Second,
-		Concurrency:           max(16, w.n.cfg.Settings.Limits.Sockets*3/4),
+		Handler:            w.handle,
+		Name:               "frostdock",
+		MaxRequestBodySize: 4 * intake.MaxBody,
+		ReadTimeout:        70 * time.Second,
+		WriteTimeout:       5 * time.Second,
+		IdleTimeout:        90 * time.Second,
+		// What is left is for the connections that this process opens itself: without
+		// one to the state service it could do nothing at all.
+		Concurrency:           max(16, w.n.cfg.Settings.Limits.Sockets*7/10),
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		Logger:                quiet{},
