Room that a partition cannot use is open to others; services move one task a time

Two tasks of a spread service that moved together had no place in the zone they went to, and room on machines that are emptied was counted as theirs (scenario places).

--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -210,7 +210,7 @@
 	}
 	var all []roomy
 	for _, gd := range b.groups {
-		if gd.changed || !gd.own && b.busy[gd.g.part] {
+		if gd.changed || b.spoken(gd) {
 			continue
 		}
 		r := roomy{gd: gd}
@@ -241,6 +241,17 @@
 	return left < soon
 }
 
+// spoken reports whether a group's room is left to its own partition's jobs, which
+// wait. If they have not taken it for a while they cannot: their team is at its
+// limit, they fail, or fit nowhere there. One such task once kept all others off a
+// partition's free machines for good.
+func (b *batch) spoken(gd *groupDraft) bool {
+	return !gd.own && b.busy[gd.g.part] && b.c.now-gd.g.changedAt < spokenFor
+}
+
+// spokenFor is several times what an owner needs to visit all of its groups.
+const spokenFor = 15 * units.Second
+
 var gradeNames = [...]string{"best_effort", "standard", "urgent", "production"}
 
 // weight is what the operators' script says of a job.
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -24,7 +24,7 @@
 	gaps := map[int][]*hole{} // with something free
 	for _, m := range c.sortedMachines() {
 		t := c.machineType(m.doc.Type)
-		if t == nil || m.part() < 0 || m.rt != nil && (m.rt.noticed || m.rt.sick || m.rt.retire != "") {
+		if t == nil || m.part() < 0 || m.rt != nil && (m.rt.noticed || m.rt.sick || m.rt.draining || m.rt.retire != "") {
 			continue
 		}
 		g := &hole{m, gap{t.CPUs, t.GPUs, t.MemGB}}
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -424,7 +424,7 @@
 		if !d.fits(j) || !b.room(d.gd) || !c.allowed(j, d.m) {
 			continue
 		}
-		if !j.spec.Service && (b.picked && !d.gd.picked && !d.gd.changed || !d.gd.own && b.busy[d.gd.g.part]) {
+		if !j.spec.Service && (b.picked && !d.gd.picked && !d.gd.changed || b.spoken(d.gd)) {
 			continue // not among those of this batch, or its own jobs wait for that room
 		}
 		if held := b.o.held[d.m.name]; held != "" && held != j.id && !j.spec.Service {
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -43,14 +43,15 @@
 
 // group is a document of machines; its stamp is 0 while there is none.
 type group struct {
-	n        int
-	key      string
-	stamp    uint64
-	size     int // of the value as stored
-	part     int
-	handover uint64
-	members  []*machine   // in order of their names
-	movedAt  units.Micros // when it was last seen to change partitions
+	n         int
+	key       string
+	stamp     uint64
+	size      int // of the value as stored
+	part      int
+	handover  uint64
+	members   []*machine   // in order of their names
+	movedAt   units.Micros // when it was last seen to change partitions
+	changedAt units.Micros // and when to change at all
 }
 
 // shelf is a document of accepted jobs.
@@ -325,6 +326,7 @@
 		return
 	}
 	moved := g.part != doc.Part
+	g.changedAt = c.now
 	if moved {
 		g.movedAt = c.now
 	}
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -197,6 +197,18 @@
 	return out
 }
 
+// stopping reports whether a task of the job is being stopped.
+func stopping(j *job) bool {
+	for n, b := range j.bound {
+		for _, t := range b.m.doc.Tasks {
+			if t.Job == j.id && t.Num == n && t.Stop > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // moveServices takes services off machines that are to be given back, where
 // another machine has their image and room, so that they are away for a moment
 // only. Those that have just started stay for now.
@@ -205,12 +217,13 @@
 		return
 	}
 	moves := 0
+	moving := map[*job]bool{} // one task a time: two that move together may not fit one zone
 	for _, d := range b.leaving(func(m *machine) bool { return m.rt.draining && c.settled(m) }) {
 		for _, t := range d.keep {
 			j := c.rep.jobs[t.Job]
 			k := keyOf(t)
 			run, runs := d.m.rt.runs[k]
-			if j == nil || !j.known || !j.spec.Service || !c.wanted(t) || !runs || c.now-run.at < restFor || !b.room(d.gd) {
+			if j == nil || !j.known || !j.spec.Service || moving[j] || j.waiting() > 0 || stopping(j) || !c.wanted(t) || !runs || c.now-run.at < restFor || !b.room(d.gd) {
 				continue
 			}
 			j.unbind(t.Num) // it does not stand in its own way
@@ -219,6 +232,7 @@
 			if to == nil || !to.has(j.spec.Image) || c.rented(to.m.name) && to.live == 0 {
 				continue
 			}
+			moving[j] = true
 			b.touch(d.gd)
 			d.stop(k, state.StopNow)
 			to.cpus, to.mem = to.cpus-j.spec.CPUs, to.mem-j.spec.MemGB
