--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -422,6 +422,12 @@
 				return n + " is not " + what, nil
 			}
 		}
+	case "kept": // no machine's lease has run out
+		for _, n := range w.names {
+			if k := w.workers[n]; k != nil && k.session > 1 {
+				return fmt.Sprintf("%s is in session %d", n, k.session), nil
+			}
+		}
 	case "known": // entries of machines in the store
 		n := strings.Count(w.store.text(state.Groups), `"a":"`)
 		if lo, hi := int(a.num("min", 0)), int(a.num("max", 1e9)); n < lo || n > hi {
