--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -28,7 +28,6 @@
 	deleting bool
 	doubtAt  units.Micros // when most machines were last silent: the list may tell why
 	chargeAt units.Micros // since when this node has this duty; 0: not
-	spareAt  map[string]units.Micros
 	strayAt  map[string]units.Micros
 }
 
@@ -518,7 +517,7 @@
 }
 
 // markBase notes, once and for all, the first machine that was rented: those
-// before it are the operator's, and stay.
+// before it were there from the start, and services go there first.
 func (c *Core) markBase(names []string) {
 	if c.rep.base != nil || len(names) == 0 {
 		return
@@ -528,8 +527,7 @@
 	c.commit(txn, doc.Mark, func(outcome, uint64, []string) {})
 }
 
-// rented reports whether the machine was rented by this service, and so may be
-// given back.
+// rented reports whether the machine was rented by this service.
 func (c *Core) rented(name string) bool { return c.rep.base != nil && name >= c.rep.base.First }
 
 func (c *Core) hireHas(name string) bool {
@@ -552,7 +550,7 @@
 func (c *Core) mostEmptied() int  { return max(2, len(c.rep.machines)/20) }
 func (c *Core) mostReturned() int { return max(1, len(c.rep.machines)/50) }
 
-// consolidate chooses rented machines that are little used to be emptied, as far
+// consolidate chooses machines that are little used to be emptied, as far
 // as the free room elsewhere takes what is on them and leaves some for newcomers.
 func (c *Core) consolidate(waiting bool) {
 	type candidate struct {
@@ -612,8 +610,7 @@
 	}
 }
 
-// returnIdle gives back rented machines that have nothing to do, the dearest
-// first.
+// returnIdle gives back machines that have nothing to do, the dearest first.
 func (c *Core) returnIdle(waiting bool) {
 	var idle []*machine
 	price := func(m *machine) float64 { return c.machineType(m.doc.Type).Rate(m.doc.Spot) }
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -171,9 +171,6 @@
 		return false
 	}
 	if j.pack != nil {
-		if p.edits[j.pack.key] == nil && b.ops < 2 {
-			return false
-		}
 		delete(p.edit(j.pack.key), j.id)
 	}
 	p.edit(key)[j.id] = d
