--- /dev/null
+++ b/internal/core/fleet_test.go
@@ -0,0 +1,248 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"frostdock.example/frostdock/internal/config"
+	"frostdock.example/frostdock/internal/policy"
+	"frostdock.example/frostdock/internal/provision"
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+	"frostdock.example/frostdock/internal/workers"
+)
+
+// outside answers what a core asks, at once and without a fault, and counts it.
+type outside struct {
+	keys    map[string]state.Item
+	rev     uint64
+	waits   []StateCall // open watches
+	seq     uint64
+	asked   map[state.Kind]int
+	workers int
+}
+
+// pageBytes is how much one answer of the state service may hold.
+const pageBytes = 512 << 10
+
+func (o *outside) put(key string, doc any) {
+	o.rev++
+	o.keys[key] = state.Item{Key: key, Value: encode(doc), Stamp: o.rev}
+}
+
+func (o *outside) list(q state.Request) state.Response {
+	r := state.Response{Status: 200, Rev: o.rev}
+	var names []string
+	for k := range o.keys {
+		if strings.HasPrefix(k, q.Key) && k > q.Since {
+			names = append(names, k)
+		}
+	}
+	slices.Sort(names)
+	size := 0
+	for _, k := range names {
+		size += len(o.keys[k].Value) + len(k) + 40
+		if size > pageBytes || len(r.Items) == 1000 {
+			r.Truncated = true
+			break
+		}
+		r.Items = append(r.Items, o.keys[k])
+	}
+	return r
+}
+
+// answer gives the messages that an effect brings back.
+func (o *outside) answer(e Effect) []Msg {
+	switch e := e.(type) {
+	case StateCall:
+		o.asked[e.Req.Kind]++
+		r := state.Response{Status: 200, Rev: o.rev}
+		switch e.Req.Kind {
+		case state.Get:
+			r.Status = 404
+		case state.List:
+			r = o.list(e.Req)
+		case state.Grant:
+			r.Permit = 1
+		case state.Watch:
+			if e.Req.Rev >= o.rev {
+				o.waits = append(o.waits, e)
+				return nil
+			}
+		case state.Commit:
+			o.rev++
+			r.Rev = o.rev
+			for _, op := range e.Req.Txn.Apply {
+				if op.Set != "" {
+					o.keys[op.Set] = state.Item{Key: op.Set, Value: op.Value, Stamp: o.rev}
+				}
+			}
+			out := []Msg{StateDone{ID: e.ID, Resp: r}}
+			for _, w := range o.waits { // the core has applied its own commit already
+				out = append(out, StateDone{ID: w.ID, Resp: state.Response{Status: 200, Rev: o.rev}})
+			}
+			o.waits = nil
+			return out
+		}
+		return []Msg{StateDone{ID: e.ID, Resp: r}}
+	case CloudCall:
+		d := CloudDone{ID: e.ID, Status: 503}
+		if e.Op == CloudCatalog {
+			d.Status = 200
+			d.Catalog.Types = []provision.Type{{Name: "big", CPUs: 32, MemGB: 256, FetchGBs: 1, Price: 1, BootS: 30, Zones: []string{"a"}}}
+		}
+		return []Msg{d}
+	case WorkerCall:
+		o.workers++
+		o.seq++
+		r := &workers.Report{Machine: e.Addr, Addr: e.Addr, Type: "big", Zone: "a", Session: 1, Seq: o.seq}
+		if e.Cmd != nil {
+			r.Token = e.Cmd.Token
+		}
+		return []Msg{WorkerDone{ID: e.ID, Status: 200, Report: r}}
+	}
+	return nil
+}
+
+// TestFleetWork starts a controller on a fleet half as large again as the largest
+// that is known, and bounds what that costs in counted work: bytes of documents,
+// requests until it commands, questions to workers, and how much of what it knows is
+// looked at again after one report.
+func TestFleetWork(t *testing.T) {
+	for _, tc := range []struct {
+		valueKB               float64
+		ops                   int
+		machines, tasks, jobs int // tasks on each machine
+	}{
+		{4, 12, 2031, 10, 1700},
+		{16, 32, 2736, 5, 1200},
+	} {
+		t.Run(fmt.Sprint(tc.valueKB), func(t *testing.T) {
+			cfg := &config.Config{Member: "a"}
+			s := &cfg.Settings
+			s.Size, s.Teams = 1, []config.Team{{Name: "red"}}
+			s.State.ValueKB, s.State.TxnOps, s.State.RPS, s.State.WriteRPS = tc.valueKB, tc.ops, 350, 35
+			s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = 6, 31, 56
+			s.Cloud.RPS, s.Cloud.ListLagS = 10, 8
+			c := New(cfg, policy.Default(), slog.New(slog.NewTextHandler(io.Discard, nil)), "new")
+			o := &outside{keys: map[string]state.Item{}, asked: map[state.Kind]int{}}
+			fill(o, c, tc.machines, tc.tasks, tc.jobs)
+
+			bytes := 0
+			for k, it := range o.keys {
+				bytes += len(it.Value)
+				if len(it.Value) > c.valueMax()*9/10 {
+					t.Errorf("%s: %d bytes of %d", k, len(it.Value), c.valueMax())
+				}
+			}
+			now := units.Second
+			var msgs []Msg
+			step := func() {
+				now += 25 * units.Millisecond
+				var next []Msg
+				for _, e := range c.Step(now, now+units.Micros(1e15), msgs) {
+					next = append(next, o.answer(e)...)
+				}
+				msgs = next
+			}
+			for range 400 { // until it owns the partition
+				step()
+				if c.usable(0) {
+					break
+				}
+			}
+			if !c.usable(0) || len(c.rep.machines) != tc.machines {
+				t.Fatalf("owns %v, knows %d machines", c.ownedParts(), len(c.rep.machines))
+			}
+			if most := bytes/pageBytes + 1; o.asked[state.List] > most {
+				t.Errorf("%d pages of %d KB", o.asked[state.List], bytes>>10)
+			}
+			asked := 0
+			for _, n := range o.asked {
+				asked += n
+			}
+			if asked > o.asked[state.List]+10 {
+				t.Errorf("%d requests before it commands: %v", asked, o.asked)
+			}
+			for range 80 { // two seconds: every machine is asked, and told the new token
+				step()
+			}
+			if o.workers < tc.machines || o.workers > tc.machines*5/2 {
+				t.Errorf("%d calls of workers for %d machines", o.workers, tc.machines)
+			}
+			kept := func() (n int) {
+				for _, m := range c.rep.machines {
+					if m.views[1].until > c.now {
+						n++
+					}
+				}
+				return n
+			}
+			before := kept()
+			if before < tc.machines*9/10 {
+				t.Errorf("views of %d machines are kept", before)
+			}
+			m := c.sortedMachines()[7]
+			o.seq++
+			c.handle(ReportReq{Report: workers.Report{Machine: m.name, Addr: m.name, Type: "big", Zone: "a", Session: 1, Seq: o.seq, Token: c.token(m)}})
+			if after := kept(); after < before-1 {
+				t.Errorf("one report dropped the views of %d machines", before-after)
+			}
+		})
+	}
+}
+
+// fill stores a fleet in use: tasks spread as they are after a while, neighbours
+// seldom together.
+func fill(o *outside, c *Core, machines, tasks, jobs int) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	groups := make([]state.Group, len(c.rep.groups))
+	for i := range machines {
+		name := fmt.Sprintf("n-%06d", i)
+		m := state.Machine{Name: name, Addr: name, MachineKind: state.MachineKind{Type: "big", Zone: "a", Spot: i%4 == 0}}
+		for range tasks {
+			j := rng.IntN(jobs)
+			m.Tasks = append(m.Tasks, state.Task{Job: fmt.Sprintf("j-%06d", j*577), Num: rng.IntN(400), Attempt: 3<<28 | uint64(rng.IntN(9000))})
+		}
+		g := c.rep.groupOf(name)
+		groups[g.n].Machines = append(groups[g.n].Machines, m)
+	}
+	for n, g := range groups {
+		o.put(state.GroupKey(n), g)
+	}
+	shelves := make([]state.Shelf, len(c.rep.shelves))
+	for j := range jobs {
+		id := fmt.Sprintf("j-%06d", j*577)
+		n := state.ShelfOf(id, len(shelves))
+		shelves[n].Jobs = append(shelves[n].Jobs, state.Job{ID: id, Class: "some-class", Team: "red", Tasks: 400, CPUs: 2, MemGB: 7.4, Spot: true,
+			Image: fmt.Sprintf("img-%02d", rng.IntN(18)), ImageGB: float64(rng.IntN(300)) / 100, EstS: float64(rng.IntN(90000)) / 1000, At: 1e15 + rng.Int64N(5e8)})
+	}
+	for n, s := range shelves {
+		o.put(state.ShelfKey(n), s)
+	}
+}
+
+// TestFleetWorkMeasures shows that the bounds on documents are real: plain ones of
+// the same fleet would not fit.
+func TestFleetWorkMeasures(t *testing.T) {
+	var m []state.Machine
+	for i := range 21 {
+		m = append(m, state.Machine{Name: fmt.Sprintf("n-%06d", i), Addr: "10.1.2.3:9000"})
+		for k := range 10 {
+			m[i].Tasks = append(m[i].Tasks, state.Task{Job: fmt.Sprintf("j-%06d", i*k*31), Num: k * 7, Attempt: 3<<28 | uint64(i*k)})
+		}
+	}
+	raw, err := json.Marshal(state.Group{Machines: m})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if plain := state.Plain(raw); len(plain) < 4096 || len(raw) > 3600 {
+		t.Errorf("%d bytes, plain %d", len(raw), len(plain))
+	}
+}
