--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -27,6 +27,7 @@
 	cool     map[string]units.Micros // offers that were refused: not before
 	deleting bool
 	doubtAt  units.Micros // when most machines were last silent: the list may tell why
+	calmAt   units.Micros // since when next to nothing waits for room
 	chargeAt units.Micros // since when this node has this duty; 0: not
 	strayAt  map[string]units.Micros
 }
@@ -80,7 +81,11 @@
 		// A few tasks that wait for a place of their own are no reason for a large
 		// fleet to keep all that it has.
 		waiting := short > bound/50
-		c.consolidate(waiting)
+		if waiting || k.calmAt == 0 {
+			k.calmAt = c.now
+		}
+		// A lull shorter than it takes to rent a machine again is no reason to empty one.
+		c.consolidate(waiting || c.now-k.calmAt < c.slowestReturn())
 		c.returnIdle(waiting)
 	}
 	if c.every("delete", 200*units.Millisecond) {
@@ -545,6 +550,15 @@
 	return max(30*units.Second, units.FromSeconds(t.BootS*c.pol.ReturnIdle))
 }
 
+// slowestReturn is that of the type that takes longest to come up.
+func (c *Core) slowestReturn() units.Micros {
+	var most units.Micros
+	for i := range c.cloud.types {
+		most = max(most, c.returnAfter(&c.cloud.types[i]))
+	}
+	return most
+}
+
 // At most so many machines are emptied together, and returned for being idle in
 // one second: a few of a small fleet, a small part of a large one.
 func (c *Core) mostEmptied() int  { return max(2, len(c.rep.machines)/20) }
