--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -462,7 +462,7 @@
 	for i := range c.cloud.types {
 		t := &c.cloud.types[i]
 		for _, z := range t.Zones {
-			if c.zoneDoubt[z] || !c.wantedIn(short, t, z, spotJobs) {
+			if c.zones[z].doubt || !c.wantedIn(short, t, z, spotJobs) {
 				continue
 			}
 			for _, spot := range []bool{false, true} {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,9 +69,8 @@
 	teamParts []int // partitions that have teams
 	peers     map[string]peerState
 	heard     map[string]units.Micros
-	entering  map[string]*entry       // machines about to be entered
-	zoneAsked map[string]units.Micros // zones that may be cut off, and when all machines there were asked
-	zoneDoubt map[string]bool         // of those, which still may be
+	entering  map[string]*entry    // machines about to be entered
+	zones     map[string]zoneState // those that may be cut off
 
 	cloud  cloudState
 	lastAt map[string]units.Micros // when each periodic duty was last done
@@ -94,7 +93,7 @@
 		cfg: cfg, pol: pol, log: log.With("node", cfg.Member),
 		stateCalls: map[uint64]func(state.Response){}, cloudCalls: map[uint64]func(CloudDone){}, cmdCalls: map[uint64]func(WorkerDone){},
 		incBase: inc, inc: inc, owned: map[int]*own{}, writing: map[string]bool{},
-		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*entry{}, zoneAsked: map[string]units.Micros{}, zoneDoubt: map[string]bool{}, written: map[string]int{},
+		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*entry{}, zones: map[string]zoneState{}, written: map[string]int{},
 		cloud: newCloudState(), lastAt: map[string]units.Micros{},
 	}
 	for _, t := range cfg.Settings.Teams {
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -249,7 +249,7 @@
 			if seen := e.token >> 31; seen >= gd.g.handover {
 				doc.Handover = seen - gd.g.handover + 1
 			}
-			gd.bytes -= storedCost(len(encode(doc)))
+			gd.bytes -= state.StoredCost(len(encode(doc)))
 			gd.entries = append(gd.entries, doc)
 			b.touch(gd)
 			c.log.Info("enter a machine", "machine", name, "type", r.Type, "spot", r.Spot, "partition", gd.g.part)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -215,9 +215,7 @@
 		return
 	}
 	if e := c.entering[r.Machine]; e != nil { // it came back: the earlier request is no longer waited for
-		if e.waits {
-			c.reply(e.q.To, 503, nil)
-		}
+		c.letGo(e)
 		e.q, e.at, e.waits = q, c.now, true
 		return
 	}
@@ -230,9 +228,7 @@
 		}
 		if d.Report == nil || d.Report.Machine != r.Machine {
 			delete(c.entering, r.Machine)
-			if e.waits {
-				c.reply(e.q.To, 503, nil)
-			}
+			c.letGo(e)
 			return
 		}
 		e.answered = true
@@ -259,6 +255,14 @@
 	entryKept = 20 * units.Second
 )
 
+// letGo answers a newcomer's report that is still waiting: it may come again.
+func (c *Core) letGo(e *entry) {
+	if e.waits {
+		e.waits = false
+		c.reply(e.q.To, 503, nil)
+	}
+}
+
 // entered answers newcomers whose entry is stored, and those that wait too long.
 func (c *Core) entered() {
 	for _, name := range slices.Sorted(maps.Keys(c.entering)) {
@@ -271,9 +275,8 @@
 			}
 		case c.now-e.at > entryKept:
 			delete(c.entering, name)
-		case e.waits && c.now-e.at > entryWait:
-			e.waits = false
-			c.reply(e.q.To, 503, nil)
+		case c.now-e.at > entryWait:
+			c.letGo(e)
 		}
 	}
 }
@@ -348,11 +351,11 @@
 			return
 		}
 		j.failures = 0
-		if c.faulty(j) { // it was not its own fault
-			j.wellOnce = true
+		blamed := c.faulty(j)
+		j.wellOnce = true
+		if blamed { // it was not its own fault
 			c.blame(j)
 		}
-		j.wellOnce = true
 		// Only a task seen from start to end tells its length; and only tasks
 		// that completed: failed ones end in seconds and would make the job
 		// look tiny.
@@ -387,7 +390,9 @@
 	mine := 0
 	for _, m := range c.rep.machines {
 		if m.rt != nil && m.rt.heardAt > 0 {
-			mine++
+			if mine++; mine > len(j.failedOn) || mine == 3 {
+				break // no need to count a whole fleet
+			}
 		}
 	}
 	return len(j.failedOn) >= min(3, mine)
@@ -672,7 +677,7 @@
 		// itself, and again.
 		// In a zone where many fall silent all are asked, and those that do not answer
 		// once more.
-		asked := m.rt.failed > 0 && c.zoneAsked[m.doc.Zone] > 0
+		asked := m.rt.failed > 0 && c.zones[m.doc.Zone].asked > 0
 		if (overdue || m.rt.unclear || asked) && c.now-m.rt.probeAt > units.Second {
 			m.rt.probeAt = c.now
 			c.inspect(m)
@@ -709,7 +714,7 @@
 	}
 	var gone []*machine
 	for _, m := range silent {
-		if len(gone) <= total/8 && !c.zoneDoubt[m.doc.Zone] && !c.othersHear(m.name, zones[m.doc.Zone].clear()) {
+		if len(gone) <= total/8 && !c.zones[m.doc.Zone].doubt && !c.othersHear(m.name, zones[m.doc.Zone].reached()) {
 			gone = append(gone, m)
 		}
 	}
@@ -717,6 +722,12 @@
 	c.giveUp("nothing reaches it", deaf...)
 }
 
+// zoneState is what is remembered of a zone that may be cut off.
+type zoneState struct {
+	asked units.Micros // when all machines there were asked
+	doubt bool         // it still may be
+}
+
 // zoneView is what an owner sees of its machines in one zone.
 type zoneView struct {
 	machines []*machine
@@ -733,47 +744,52 @@
 // gone the cloud's list will tell.
 func (c *Core) judgeZones(zones map[string]*zoneView) {
 	several := func(z *zoneView) bool { return z != nil && z.failing >= max(3, len(z.machines)/20) }
-	for zone := range c.zoneAsked {
+	for zone := range c.zones {
 		if !several(zones[zone]) {
-			delete(c.zoneAsked, zone)
-			delete(c.zoneDoubt, zone)
+			delete(c.zones, zone)
 		}
 	}
+	// With one zone alone, a silent majority is doubted anyway.
+	others := len(zones) > 1
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		z := zones[zone]
-		asked, open := c.zoneAsked[zone]
+		s, open := c.zones[zone]
 		switch {
 		case !several(z):
-		case !open || c.now-asked > zoneAgain:
-			c.zoneAsked[zone] = c.now
-			// Until the first answers. With one zone alone, a silent majority is doubted
-			// anyway.
-			c.zoneDoubt[zone] = len(zones) > 1 && (!open || c.zoneDoubt[zone])
+		case !open || c.now-s.asked > zoneAgain:
+			c.zones[zone] = zoneState{asked: c.now, doubt: others && (!open || s.doubt)} // until the first answers
 			for _, m := range z.machines {
 				if c.now-m.rt.heardAt > units.Second {
 					m.rt.probeAt = c.now
 					c.inspect(m)
 				}
 			}
-		case c.now-asked > zoneAnswers:
-			answered := 0
-			for _, m := range z.machines {
-				if m.rt.heardAt >= asked-units.Second {
-					answered++
-				}
-			}
-			doubt := len(zones) > 1 && answered*4 < len(z.machines)
-			if doubt {
-				c.cloud.doubtAt = c.now
+		case c.now-s.asked > zoneAnswers:
+			answered := z.heardSince(s.asked - units.Second)
+			s.doubt = others && answered*4 < len(z.machines)
+			c.zones[zone] = s
+			if !s.doubt {
+				continue
 			}
-			if doubt && c.every("zone"+zone, 10*units.Second) {
+			c.cloud.doubtAt = c.now
+			if c.every("zone"+zone, 10*units.Second) {
 				c.log.Warn("zone seems cut off", "zone", zone, "machines", len(z.machines), "answer", answered)
 			}
-			c.zoneDoubt[zone] = doubt
 		}
 	}
 }
 
+// heardSince counts the zone's machines that were heard since then.
+func (z *zoneView) heardSince(at units.Micros) int {
+	n := 0
+	for _, m := range z.machines {
+		if m.rt.heardAt >= at {
+			n++
+		}
+	}
+	return n
+}
+
 // The machines of a zone in doubt have so long to answer, and are asked again
 // after a while.
 const (
@@ -827,13 +843,13 @@
 	return out
 }
 
-// clear reports whether the way to the zone is open: most machines there are heard.
-func (z *zoneView) clear() bool { return len(z.machines) >= 4 && z.hearing*2 >= len(z.machines) }
+// reached reports whether the way to the zone is open: most machines there are heard.
+func (z *zoneView) reached() bool { return len(z.machines) >= 4 && z.hearing*2 >= len(z.machines) }
 
 // othersHear reports whether a living controller hears the machine. One that cannot
-// be asked might, unless the way to the machine's zone is clear: while controllers
+// be asked might, unless the way to the machine's zone is open: while controllers
 // refuse each other's connections, nothing that died would be replaced.
-func (c *Core) othersHear(name string, clear bool) bool {
+func (c *Core) othersHear(name string, reached bool) bool {
 	for key := range c.rep.nodes {
 		member, inc, _ := strings.Cut(strings.TrimPrefix(key, state.Nodes), "/")
 		if member == c.cfg.Member {
@@ -841,7 +857,7 @@
 		}
 		p, ok := c.peers[member]
 		if !ok || p.beat.Inc != inc || c.now-p.at > 4*units.Second {
-			if !clear {
+			if !reached {
 				return true
 			}
 			continue
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -167,7 +167,7 @@
 // back: services leave at once, tasks with checkpoints as late as they can.
 // Others run on, since they may complete in time.
 func (c *Core) evacuate(b *batch) {
-	for _, d := range b.leaving(func(m *machine) bool { return m.rt.noticed }) {
+	for _, d := range b.emptying(func(m *machine) bool { return m.rt.noticed }) {
 		left := d.m.rt.noticeAt - c.now
 		for _, t := range d.keep {
 			j := c.rep.jobs[t.Job]
@@ -182,10 +182,10 @@
 	}
 }
 
-// leaving lists this partition's machines that are to be emptied, for one reason or
+// emptying lists this partition's machines that are to be emptied, for one reason or
 // another. They take no more work, so they are not among those that tasks are
 // placed on; looked for there, nothing was ever saved or moved.
-func (b *batch) leaving(why func(*machine) bool) []*draft {
+func (b *batch) emptying(why func(*machine) bool) []*draft {
 	var out []*draft
 	for _, gd := range b.groups {
 		for _, d := range gd.drafts {
@@ -218,7 +218,7 @@
 	}
 	moves := 0
 	moving := map[*job]bool{} // one task a time: two that move together may not fit one zone
-	for _, d := range b.leaving(func(m *machine) bool { return m.rt.draining && c.settled(m) }) {
+	for _, d := range b.emptying(func(m *machine) bool { return m.rt.draining && c.settled(m) }) {
 		for _, t := range d.keep {
 			j := c.rep.jobs[t.Job]
 			k := keyOf(t)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -234,7 +234,7 @@
 		for _, a := range wait {
 			j := c.rep.jobs[a.job.ID]
 			twice := slices.ContainsFunc(put, func(b accept) bool { return b.job.ID == a.job.ID })
-			cost := storedCost(len(encode(a.job)))
+			cost := state.StoredCost(len(encode(a.job)))
 			switch {
 			case j != nil && j.known: // entered meanwhile, by way of another controller
 				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
@@ -343,10 +343,6 @@
 	}
 }
 
-// storedCost bounds what so many bytes of plain JSON add to a value that may be
-// stored in the short form: what does not shrink is a third longer there.
-func storedCost(plain int) int { return plain*4/3 + 8 }
-
 // valueMax is how long a stored value may be: as the store allows, and so that
 // one transaction takes at least two.
 func (c *Core) valueMax() int {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -69,15 +69,15 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
-		Dial: func(addr string) (net.Conn, error) {
-			return net.DialTimeout("tcp4", addr, dialWithin)
-		},
+		Dial:                      dial,
 	}
 }
 
+func dial(addr string) (net.Conn, error) { return net.DialTimeout("tcp4", addr, dialWithin) }
+
 // dialWorker counts the connections to workers, until they are closed.
 func (c *clients) dialWorker(addr string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp4", addr, dialWithin)
+	conn, err := dial(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -97,9 +97,13 @@
 	return c.Conn.Close()
 }
 
-// do makes one request; status 0 means that there was no answer. With last the
-// connection is not kept.
-func do(c *fasthttp.HostClient, method, path string, body any, within time.Duration, into any, last bool) int {
+// do makes one request; status 0 means that there was no answer.
+func do(c *fasthttp.HostClient, method, path string, body any, within time.Duration, into any) int {
+	return exchange(c, method, path, body, within, into, false)
+}
+
+// exchange does as do; after the last request the connection is not kept.
+func exchange(c *fasthttp.HostClient, method, path string, body any, within time.Duration, into any, last bool) int {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -132,23 +136,23 @@
 	q := e.Req
 	switch q.Kind {
 	case state.Get:
-		r.Status = do(c.calls, "GET", "/kv/"+q.Key, nil, stateWithin, &r, false)
+		r.Status = do(c.calls, "GET", "/kv/"+q.Key, nil, stateWithin, &r)
 	case state.List:
 		path := "/kv?under=" + url.QueryEscape(q.Key) + "&most=1000"
 		if q.Since != "" {
 			path += "&since=" + url.QueryEscape(q.Since)
 		}
-		r.Status = do(c.calls, "GET", path, nil, 2*stateWithin, &r, false)
+		r.Status = do(c.calls, "GET", path, nil, 2*stateWithin, &r)
 	case state.Commit:
-		r.Status = do(c.calls, "POST", "/txn", q.Txn, stateWithin, &r, false)
+		r.Status = do(c.calls, "POST", "/txn", q.Txn, stateWithin, &r)
 	case state.Grant:
-		r.Status = do(c.calls, "POST", "/holds", map[string]int64{"ttlMs": q.TTLMs}, stateWithin, &r, false)
+		r.Status = do(c.calls, "POST", "/holds", map[string]int64{"ttlMs": q.TTLMs}, stateWithin, &r)
 	case state.Renew:
-		r.Status = do(c.calls, "POST", "/holds/"+strconv.FormatUint(q.Permit, 10)+"/renew", nil, stateWithin, &r, false)
+		r.Status = do(c.calls, "POST", "/holds/"+strconv.FormatUint(q.Permit, 10)+"/renew", nil, stateWithin, &r)
 	case state.Watch:
 		path := "/changes?under=" + url.QueryEscape(q.Key) + "&since=" + strconv.FormatUint(q.Rev, 10) +
 			"&holdMs=" + strconv.FormatInt(q.HoldMs, 10)
-		r.Status = do(c.watches, "GET", path, nil, time.Duration(q.HoldMs)*time.Millisecond+holdExtra, &r, false)
+		r.Status = do(c.watches, "GET", path, nil, time.Duration(q.HoldMs)*time.Millisecond+holdExtra, &r)
 	}
 	c.n.post(core.StateDone{ID: e.ID, Resp: r})
 }
@@ -157,17 +161,17 @@
 	d := core.CloudDone{ID: e.ID}
 	switch e.Op {
 	case core.CloudCatalog:
-		d.Status = do(c.provider, "GET", "/catalog", nil, cloudWithin, &d.Catalog, false)
+		d.Status = do(c.provider, "GET", "/catalog", nil, cloudWithin, &d.Catalog)
 	case core.CloudHire:
-		d.Status = do(c.provider, "POST", "/machines", e.Hire, cloudWithin, &d.Names, false)
+		d.Status = do(c.provider, "POST", "/machines", e.Hire, cloudWithin, &d.Names)
 	case core.CloudDelete:
-		d.Status = do(c.provider, "POST", "/machines/delete", e.Names, cloudWithin, nil, false)
+		d.Status = do(c.provider, "POST", "/machines/delete", e.Names, cloudWithin, nil)
 	case core.CloudList:
 		path := "/machines?most=500"
 		if e.Since != "" {
 			path += "&since=" + url.QueryEscape(e.Since)
 		}
-		d.Status = do(c.provider, "GET", path, nil, cloudWithin, &d.Page, false)
+		d.Status = do(c.provider, "GET", path, nil, cloudWithin, &d.Page)
 	}
 	c.n.post(d)
 }
@@ -186,9 +190,9 @@
 	// kept ones to each of them would be more than there are sockets.
 	last := c.open.Load() > int64(c.n.cfg.Settings.Limits.Sockets/10)
 	if e.Cmd == nil {
-		d.Status = do(h, "GET", "/inspect", nil, workerWithin, &r, last)
+		d.Status = exchange(h, "GET", "/inspect", nil, workerWithin, &r, last)
 	} else {
-		d.Status = do(h, "POST", "/commands", e.Cmd, workerWithin, &r, last)
+		d.Status = exchange(h, "POST", "/commands", e.Cmd, workerWithin, &r, last)
 	}
 	if d.Status == 200 || d.Status == 409 {
 		d.Report = &r
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -10,11 +10,16 @@
 	"testing"
 )
 
+// picker draws one of some words.
+func picker(rng *rand.Rand) func(words ...string) string {
+	return func(words ...string) string { return words[rng.IntN(len(words))] }
+}
+
 // chaos writes a scenario of random jobs and overlapping troubles.
 func chaos(seed uint64) string {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	var b strings.Builder
-	pick := func(words ...string) string { return words[rng.IntN(len(words))] }
+	pick := picker(rng)
 	fmt.Fprintf(&b, "set nodes=%d end=420 seed=%d flaky=%.3f keep=%s copies=%s lease=%s cancel=%s value=%s\n", 2+rng.IntN(3), seed, rng.Float64()*0.06,
 		pick("20", "10000"), pick("0", "0.1"), pick("12", "22"), pick("40", "47"), pick("4", "100")) // large values: many machines in one document
 	b.WriteString("team red cpus=20 max=40\nteam blue max=60\nteam green cpus=30\n")
@@ -81,7 +86,7 @@
 func fleet(seed uint64) string {
 	rng := rand.New(rand.NewPCG(seed, 11))
 	var b strings.Builder
-	pick := func(words ...string) string { return words[rng.IntN(len(words))] }
+	pick := picker(rng)
 	fmt.Fprintf(&b, "set nodes=5 end=460 seed=%d flaky=%.3f copies=%s report=%s lease=31 cancel=56 value=%s writes=35 ops=%s\n", seed, rng.Float64()*0.02,
 		pick("0", "0.02"), pick("6", "10"), pick("2", "4", "16"), pick("12", "32"))
 	b.WriteString("team red cpus=300 max=1300\nteam blue\nteam green cpus=200 max=1100\n")
@@ -126,11 +131,11 @@
 			node := fmt.Sprintf("node%d", rng.IntN(5))
 			switch rng.IntN(13) {
 			case 0, 1:
-				fmt.Fprintf(&b, "at %.1f crash node0,node1,node2,node3,node4 for=%.2f\n", t, pick2(rng, 0.2, 6))
+				fmt.Fprintf(&b, "at %.1f crash node0,node1,node2,node3,node4 for=%.2f\n", t, either(rng, 0.2, 6))
 			case 2:
-				fmt.Fprintf(&b, "at %.1f crash %s for=%.2f\nat %.1f crash %s for=%.2f\n", t, node, pick2(rng, 0.2, 6), t+rng.Float64()*7, node, pick2(rng, 0.2, 6))
+				fmt.Fprintf(&b, "at %.1f crash %s for=%.2f\nat %.1f crash %s for=%.2f\n", t, node, either(rng, 0.2, 6), t+rng.Float64()*7, node, either(rng, 0.2, 6))
 			case 3:
-				fmt.Fprintf(&b, "at %.1f roll every=%.1f for=%.2f\n", t, 2+rng.Float64()*13, pick2(rng, 0.2, 6))
+				fmt.Fprintf(&b, "at %.1f roll every=%.1f for=%.2f\n", t, 2+rng.Float64()*13, either(rng, 0.2, 6))
 			case 4:
 				fmt.Fprintf(&b, "at %.1f zonecut %s for=%.1f mode=%s\n", t, pick("a", "b"), d, pick("hold", "drop"))
 			case 5:
@@ -156,8 +161,8 @@
 	return b.String()
 }
 
-// pick2 is about one of two lengths.
-func pick2(rng *rand.Rand, x, y float64) float64 {
+// either is about one of two lengths.
+func either(rng *rand.Rand, x, y float64) float64 {
 	if rng.IntN(2) == 0 {
 		return x * (1 + rng.Float64())
 	}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -23,9 +23,7 @@
 	limits   map[string]float64 // CPUs a team may use; 0: no limit
 	gpuLimit map[string]float64
 	jobs     map[string]*checked
-	on       map[string]map[string]bool // machine -> tasks on it
 	where    map[string]provision.Listed
-	task     map[string]string       // task -> machine
 	use      map[string]*teamUse     // what each team's tasks take
 	begun    map[string]units.Micros // when each job's first task started
 	asked    int
@@ -37,7 +35,7 @@
 
 // checked is what the checker knows of a job.
 type checked struct {
-	on        map[int]string // its tasks that are on machines
+	on        map[int]string // its tasks that are on machines, and on which
 	spec      *state.Job
 	accepted  bool
 	at        units.Micros // when it was accepted
@@ -54,7 +52,7 @@
 // NewChecker returns a checker that knows of no job.
 func NewChecker() *Checker {
 	return &Checker{limits: map[string]float64{}, gpuLimit: map[string]float64{}, jobs: map[string]*checked{},
-		on: map[string]map[string]bool{}, where: map[string]provision.Listed{}, task: map[string]string{}, use: map[string]*teamUse{}, begun: map[string]units.Micros{}, CancelIn: 47 * units.Second}
+		where: map[string]provision.Listed{}, use: map[string]*teamUse{}, begun: map[string]units.Micros{}, CancelIn: 47 * units.Second}
 }
 
 func (c *Checker) fail(rule, format string, args ...any) {
@@ -85,7 +83,8 @@
 	if _, ok := c.begun[job]; !ok {
 		c.begun[job] = c.now
 	}
-	if other, ok := c.task[id]; ok {
+	other, twice := j.on[n]
+	if twice {
 		c.fail("ran_twice", "%s starts on %s while it is on %s", id, machine, other)
 	}
 	s := j.spec
@@ -118,53 +117,42 @@
 	if j.cancelled > 0 && c.now > j.cancelled+c.CancelIn {
 		c.fail("ran_cancelled", "%s starts %.1f s after its user was told", id, (c.now - j.cancelled).Seconds())
 	}
-	if c.on[machine] == nil {
-		c.on[machine] = map[string]bool{}
-	}
-	c.on[machine][id] = true
 	c.where[machine] = l
-	if _, ok := c.task[id]; !ok {
+	if !twice {
 		u.cpus, u.gpus = cpus, gpus
 	}
-	c.task[id] = machine
 	j.on[n] = machine
 }
 
 // ofTeam lists where a team's tasks are.
 func (c *Checker) ofTeam(team string) string {
 	var b strings.Builder
-	for _, t := range c.sortedTasks() {
-		if c.jobOf(t).spec.Team == team {
-			fmt.Fprintf(&b, "%s@%s ", t, c.task[t])
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		for _, n := range slices.Sorted(maps.Keys(j.on)) {
+			if j.spec.Team == team {
+				fmt.Fprintf(&b, "%s/%d@%s ", id, n, j.on[n])
+			}
 		}
 	}
 	return b.String()
 }
 
-func (c *Checker) sortedTasks() []string {
-	return slices.Sorted(maps.Keys(c.task))
-}
-
-func (c *Checker) jobOf(task string) *checked {
-	for i := range task {
-		if task[i] == '/' {
-			return c.jobs[task[:i]]
-		}
-	}
-	return nil
-}
-
 // Off is called when a task is no longer on a machine.
 func (c *Checker) Off(machine, job string, n int) {
-	id := fmt.Sprintf("%s/%d", job, n)
-	delete(c.on[machine], id)
-	if c.task[id] == machine {
-		delete(c.task, id)
-		j := c.jobs[job]
-		delete(j.on, n)
-		c.use[j.spec.Team].cpus -= j.spec.CPUs
-		c.use[j.spec.Team].gpus -= j.spec.GPUs
+	j := c.jobs[job]
+	if j.on[n] != machine {
+		return
 	}
+	delete(j.on, n)
+	c.use[j.spec.Team].cpus -= j.spec.CPUs
+	c.use[j.spec.Team].gpus -= j.spec.GPUs
+}
+
+// OnMachine reports whether a task is on a machine.
+func (c *Checker) OnMachine(job string, n int) bool {
+	_, ok := c.jobs[job].on[n]
+	return ok
 }
 
 // Tick looks for what time alone breaks.
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -401,7 +401,7 @@
 				continue
 			}
 			for n := range j.spec.Tasks {
-				if _, ok := w.Rules.task[fmt.Sprintf("%s/%d", j.spec.ID, n)]; !ok {
+				if !w.Rules.OnMachine(j.spec.ID, n) {
 					return fmt.Sprintf("%s/%d is not on a machine", j.spec.ID, n), nil
 				}
 			}
--- a/internal/state/squeeze.go
+++ b/internal/state/squeeze.go
@@ -34,6 +34,10 @@
 	return out, nil
 }
 
+// StoredCost bounds what so many bytes of plain JSON add to a value that may be
+// stored in the short form: what does not shrink is a third longer there.
+func StoredCost(plain int) int { return plain*4/3 + 8 }
+
 // mostExpanded bounds what one value may grow to; a longer one is not ours.
 const mostExpanded = 4 << 20
 
