Entitled by a complete copy, not by renewals; the stand-in knows the meetings of troubles

What bounds answering, commanding and planning is now the send time of a read up to whose revision the copy is complete; starts need one of the last 3 s. Settings whose leases and cancel_s leave no safe timing are refused.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -144,8 +144,8 @@
 	positive("settings.workers.report_s", s.Workers.ReportS)
 	positive("settings.workers.lease_s", s.Workers.LeaseS)
 	positive("settings.workers.cancel_s", s.Workers.CancelS)
-	need(s.Workers.CancelS > s.Workers.LeaseS+4, "settings.workers.cancel_s",
-		"must exceed lease_s by more than 4 s, else no node may answer for a claim it cannot prove")
+	need(s.Workers.CancelS-s.Workers.LeaseS > 2*(2+s.Workers.LeaseS/500), "settings.workers.cancel_s",
+		fmt.Sprintf("must exceed lease_s by more than %.1f s, else a controller could never answer workers safely", 2*(2+s.Workers.LeaseS/500)))
 	positive("settings.state.rps", s.State.RPS)
 	positive("settings.state.write_rps", s.State.WriteRPS)
 	positive("settings.state.value_kb", s.State.ValueKB)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -52,6 +52,7 @@
 		{`state = "127.0.0.1:2"`, `state = "store:2"`, "outside.state"},
 		{`size = 2`, `size = 0`, "settings.size"},
 		{`lease_s = 22.0`, `lease_s = 46.0`, "settings.workers.cancel_s"},
+		{"lease_s = 22.0\ncancel_s = 47.0", "lease_s = 900.0\ncancel_s = 906.0", "settings.workers.cancel_s"}, // the clocks' drift alone takes 1.8 s
 		{`write_rps = 25.0`, `write_rps = -1.0`, "settings.state.write_rps"},
 		{`name = "red"`, `name = "red"` + "\ncpus = -1.0", "settings.teams[0]"},
 		{`report_s = 3.0`, `report_s = "x"`, "report_s"},
--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -293,11 +293,17 @@
 // next is the first task from n on that is neither done nor bound, or -1.
 // Tasks are taken in order, so that the ranges of done ones stay few.
 func (j *job) next(n int) int {
+	last := j.spec.Tasks
 	if j.done.Ranges()+len(j.extra) > maxHoles {
-		return -1
+		// What is stored must not become much longer; but filling gaps makes it shorter in
+		// the end, and without that a job with too many of them would never go on.
+		if j.active() >= maxHoles/4 {
+			return -1
+		}
+		last = j.done.End()
 	}
 	// All before the first gap are done: in an array of 100,000 that is most.
-	for n = max(n, j.done.Missing()); n < j.spec.Tasks; n++ {
+	for n = max(n, j.done.Missing()); n < last; n++ {
 		if _, ok := j.bound[n]; !ok && !j.isDone(n) {
 			return n
 		}
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -31,7 +31,6 @@
 // list of the living.
 func (c *Core) register() {
 	c.alive = false
-	sent := c.now
 	retry := func() { c.after(300*units.Millisecond, c.register) }
 	c.callState(state.Request{Kind: state.Grant, TTLMs: holdTTL.Milliseconds()}, func(r state.Response) {
 		if r.Status != 200 || r.Permit == 0 {
@@ -52,7 +51,7 @@
 				return
 			}
 			c.apply(key, txn.Apply[0].Value, r.Rev, false)
-			c.provenAt, c.alive = sent, true
+			c.alive = true
 			c.log.Info("registered", "inc", c.inc)
 			c.renew()
 		})
@@ -72,12 +71,10 @@
 }
 
 func (c *Core) renew() {
-	sent := c.now
 	permit := c.permit
 	c.callState(state.Request{Kind: state.Renew, Permit: permit}, func(r state.Response) {
 		switch r.Status {
 		case 200:
-			c.provenAt = sent
 			c.after(holdTTL/5, c.renew)
 		case 404:
 			// The lease has ended: others may own what this process held.
@@ -90,18 +87,29 @@
 	})
 }
 
-// fresh reports whether the claims are proven recently enough to answer
-// workers. Without this bound a node that alone is refused by the state
-// service would keep tasks alive that were cancelled elsewhere.
-func (c *Core) fresh() bool {
-	return c.alive && c.now-c.provenAt < c.cfg.Settings.AnswerBound()
+// entitled reports whether this process may act on what its copy says: answer a
+// worker, command one, plan. The copy must be known to have been complete, claims
+// and cancellations included, within the bound. That the process's entry was
+// renewed is no proof of it: after an outage every entry has its full time again,
+// and a leader that went by its renewals alone once started tasks whose
+// cancellation it had not seen, more than cancel_s after it was confirmed.
+func (c *Core) entitled() bool {
+	return c.alive && c.rep.synced && c.knownAt > 0 && c.now-c.knownAt < c.cfg.Settings.AnswerBound()
 }
 
+// launchBound is how old the copy may be for a start. Leases may be kept for
+// longer, so that a short outage costs no task; but a start can wait, and whatever
+// is cancelled meanwhile must not be started any more.
+const launchBound = 3 * units.Second
+
+// mayLaunch reports whether the copy is recent enough for starts.
+func (c *Core) mayLaunch() bool { return c.entitled() && c.now-c.knownAt < launchBound }
+
 // usable reports whether partition p is mine and the replica shows all that
 // the former owner wrote.
 func (c *Core) usable(p int) bool {
 	o := c.owned[p]
-	return o != nil && c.rep.synced && c.rep.watchRev >= o.stamp && c.fresh()
+	return o != nil && c.rep.watchRev >= o.stamp && c.entitled()
 }
 
 // ownership follows a partition's document.
@@ -148,7 +156,7 @@
 // claims takes partitions that nobody living owns, and gives one away when
 // another has none.
 func (c *Core) claims() {
-	if !c.rep.synced || !c.alive || !c.fresh() || !c.mayOwe() || c.stateBad {
+	if !c.entitled() || !c.mayOwe() || c.stateBad {
 		return
 	}
 	c.dropOldSelves()
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -85,8 +85,9 @@
 			k.calmAt = c.now
 		}
 		// A lull shorter than it takes to rent a machine again is no reason to empty one.
-		c.consolidate(waiting || c.now-k.calmAt < c.slowestReturn())
-		c.returnIdle(waiting)
+		pressing := c.pressing()
+		c.consolidate(waiting || c.now-k.calmAt < c.slowestReturn(), pressing)
+		c.returnIdle(waiting, pressing)
 	}
 	if c.every("delete", 200*units.Millisecond) {
 		c.deleteRetired()
@@ -566,7 +567,7 @@
 
 // consolidate chooses machines that are little used to be emptied, as far
 // as the free room elsewhere takes what is on them and leaves some for newcomers.
-func (c *Core) consolidate(waiting bool) {
+func (c *Core) consolidate(waiting bool, pressing []*job) {
 	type candidate struct {
 		m     *machine
 		t     *provision.Type
@@ -581,12 +582,8 @@
 		if t == nil || m.part() < 0 {
 			continue
 		}
-		u := 0.0
-		for _, task := range m.doc.Tasks {
-			if j := c.live(task); j != nil {
-				u += j.spec.CPUs
-			}
-		}
+		g := c.roomOn(m, t)
+		u := t.CPUs - g.cpus
 		used += u
 		if m.rt == nil {
 			if _, open := c.foreignOpen(m); open {
@@ -594,7 +591,8 @@
 			}
 			continue
 		}
-		if waiting {
+		wanted := c.takes(m, g, pressing)
+		if waiting || wanted {
 			m.rt.draining = false
 		}
 		if m.rt.draining {
@@ -605,7 +603,8 @@
 			continue
 		}
 		free += t.CPUs - u
-		if u/t.CPUs < 0.6 && c.now-m.rt.since > 30*units.Second {
+		// One that was out of reach until now is empty for that reason alone.
+		if u/t.CPUs < 0.6 && !wanted && c.now-m.rt.since > 30*units.Second && c.steady(m, 30*units.Second) {
 			all = append(all, candidate{m, t, u, t.Rate(m.doc.Spot) * (1 - u/t.CPUs)})
 		}
 	}
@@ -625,7 +624,7 @@
 }
 
 // returnIdle gives back machines that have nothing to do, the dearest first.
-func (c *Core) returnIdle(waiting bool) {
+func (c *Core) returnIdle(waiting bool, pressing []*job) {
 	var idle []*machine
 	price := func(m *machine) float64 { return c.machineType(m.doc.Type).Rate(m.doc.Spot) }
 	for _, m := range c.sortedMachines() {
@@ -635,7 +634,7 @@
 		}
 		used := slices.ContainsFunc(m.doc.Tasks, func(t state.Task) bool { return c.unstored(t) != nil })
 		// One that is not heard may be cut off, and is not idle for sure.
-		if used || waiting || c.now-m.rt.heardAt > 2*c.cfg.Settings.Report() {
+		if used || waiting || c.now-m.rt.heardAt > 2*c.cfg.Settings.Report() || len(pressing) > 0 && c.takes(m, c.roomOn(m, t), pressing) {
 			m.rt.idleAt = c.now
 			continue
 		}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -165,9 +165,23 @@
 // was at some moment after the request came in.
 type confirm struct {
 	rev  uint64
+	sent units.Micros // when the read that gave the revision was sent
 	then func(ok bool)
 }
 
+// learnRevision asks for the revision now and then though nobody waits for it: a
+// copy that has reached it was complete when it was asked for, and that is what
+// the right to act rests on.
+func (c *Core) learnRevision() {
+	again := units.Second
+	if c.stateBad {
+		again = 300 * units.Millisecond
+	}
+	if c.rep.synced && len(c.confirmQ) == 0 && c.now-c.confirmAt > again {
+		c.confirmQ = append(c.confirmQ, confirm{then: func(bool) {}})
+	}
+}
+
 // confirmed calls then when the replica is known to be current: one read of
 // the store's revision serves all that wait for it, and their answers can then
 // never be older than any answer given before.
@@ -194,6 +208,7 @@
 	c.confirmQ = nil
 	c.confirmAt = c.now
 	c.confirms++
+	sent := c.now
 	c.callState(state.Request{Kind: state.Get, Key: state.Root + "none"}, func(r state.Response) {
 		c.confirms--
 		for _, w := range batch {
@@ -201,7 +216,7 @@
 				w.then(false)
 				continue
 			}
-			c.waitRev = append(c.waitRev, confirm{r.Rev, w.then})
+			c.waitRev = append(c.waitRev, confirm{r.Rev, sent, w.then})
 		}
 		c.caughtUp()
 	})
@@ -221,6 +236,9 @@
 		}
 	}
 	c.waitRev = rest
+	for _, w := range due {
+		c.knownAt = max(c.knownAt, w.sent)
+	}
 	for _, w := range due {
 		w.then(true)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,15 +36,18 @@
 	timers     []timer
 
 	// Membership and claims.
-	incBase  string
-	incN     int
-	inc      string
-	permit   uint64
-	provenAt units.Micros // send time of the latest renewal that succeeded
-	alive    bool         // registered, and as far as known still so
-	owned    map[int]*own
-	markN    uint64
-	writing  map[string]bool // keys in a batch that is not yet answered
+	incBase string
+	incN    int
+	inc     string
+	permit  uint64
+	knownAt units.Micros // the copy is known to have been complete then; 0: never
+	alive   bool         // registered, and as far as known still so
+
+	entitledAt units.Micros // since when this process may act on its copy; 0: it may not
+
+	owned   map[int]*own
+	markN   uint64
+	writing map[string]bool // keys in a batch that is not yet answered
 
 	// State service.
 	stateOK    units.Micros   // when it last answered
@@ -180,6 +183,12 @@
 	if c.every("tokens", 20*units.Millisecond) {
 		c.refill()
 	}
+	c.learnRevision()
+	if !c.entitled() {
+		c.entitledAt = 0
+	} else if c.entitledAt == 0 {
+		c.entitledAt = c.now
+	}
 	c.sendConfirm()
 	c.sendAccepts()
 	if c.every("users", 100*units.Millisecond) {
@@ -187,9 +196,6 @@
 	}
 	if c.every("claims", 250*units.Millisecond) {
 		c.checkWatch()
-		if c.rep.synced && len(c.confirmQ) == 0 && c.now-c.confirmAt > units.Second {
-			c.confirmQ = append(c.confirmQ, confirm{then: func(bool) {}}) // to learn the revision
-		}
 		c.claims()
 		c.watchMachines()
 	}
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"slices"
 	"strconv"
 
+	"frostdock.example/frostdock/internal/provision"
 	"frostdock.example/frostdock/internal/units"
 )
 
@@ -87,6 +89,48 @@
 	return out
 }
 
+// pressingAfter is how long a job may have tasks waiting, and none placed, before it
+// may use any room that it fits into, whatever that room is kept for: no job may wait
+// for 90 s beside a machine that could take it. What is kept free for others, left to
+// another partition, or about to be emptied, once stayed so for minutes.
+const pressingAfter = 40 * units.Second
+
+// pressing lists the jobs that have waited for so long; it is to be called every second.
+func (c *Core) pressing() []*job {
+	var out []*job
+	using := c.teamUsage()
+	for _, j := range c.sortedJobs() {
+		switch {
+		case j.cancelled || c.now < j.retryAt || j.waiting() == 0 || c.quotaRoom(j, using) == 0:
+			j.waitAt = 0
+		case j.waitAt == 0:
+			j.waitAt = c.now
+		case c.presses(j):
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// presses reports whether the job has waited for too long.
+func (c *Core) presses(j *job) bool { return j.waitAt > 0 && c.now-j.waitAt > pressingAfter }
+
+// roomOn is what the tasks bound to a machine leave of it.
+func (c *Core) roomOn(m *machine, t *provision.Type) *gap {
+	g := &gap{t.CPUs, t.GPUs, t.MemGB}
+	for _, task := range m.doc.Tasks {
+		if j := c.live(task); j != nil {
+			g.fill(&j.spec, 1)
+		}
+	}
+	return g
+}
+
+// takes reports whether one of the jobs could have a task on the machine now.
+func (c *Core) takes(m *machine, g *gap, jobs []*job) bool {
+	return slices.ContainsFunc(jobs, func(j *job) bool { return g.holds(&j.spec) && c.allowed(j, m) })
+}
+
 // quotaRoom is how many more tasks of j its team's limit allows at once.
 func (c *Core) quotaRoom(j *job, using map[string]*usage) int {
 	t := c.team(j.spec.Team)
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -150,7 +150,7 @@
 func (c *Core) takesWork(m *machine) bool {
 	rt := m.rt
 	return rt.heardAt > 0 && c.now-rt.heardAt < 2*c.cfg.Settings.Report()+units.Second && !rt.noticed && !rt.sick && !rt.draining && rt.retire == "" && rt.unheard < deafAfter &&
-		rt.seen == c.token(m) && !rt.unclear
+		rt.seen == c.token(m) && !rt.unclear && !c.mute(m)
 }
 
 // foreignOpen reports whether the owner of another partition's machine says
@@ -420,14 +420,15 @@
 	c := b.c
 	var best *draft
 	bestScore := math.Inf(-1)
+	presses := c.presses(j)
 	for _, d := range b.drafts {
 		if !d.fits(j) || !b.room(d.gd) || !c.allowed(j, d.m) {
 			continue
 		}
-		if !j.spec.Service && (b.picked && !d.gd.picked && !d.gd.changed || b.spoken(d.gd)) {
+		if !j.spec.Service && !presses && (b.picked && !d.gd.picked && !d.gd.changed || b.spoken(d.gd)) {
 			continue // not among those of this batch, or its own jobs wait for that room
 		}
-		if held := b.o.held[d.m.name]; held != "" && held != j.id && !j.spec.Service {
+		if held := b.o.held[d.m.name]; held != "" && held != j.id && !j.spec.Service && !presses {
 			continue
 		}
 		score := -d.cpus
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -49,6 +49,7 @@
 	seq      uint64
 	seen     uint64       // highest token that a report has shown
 	heardAt  units.Micros // latest new report or direct answer; 0: none yet
+	contact  units.Micros // since when it has been heard without a gap
 	answered units.Micros // when a report of it was last answered
 	steady   units.Micros // since when they have been, without a gap of a lease
 	since    units.Micros
@@ -73,6 +74,7 @@
 	probeBad units.Micros // when a probe last failed
 	failed   int          // probes in a row that failed, with no report between
 	sick     bool
+	sickAt   units.Micros // since when
 	idleAt   units.Micros
 	leaving  map[taskKey]bool // entries that a write under way takes off the document
 	draining bool             // takes no new work, so that it can be given back
@@ -95,7 +97,7 @@
 	l := c.cfg.Settings.Lease()
 	m.touch()
 	m.rt = &runtime{
-		owner: o, since: c.now, idleAt: c.now,
+		owner: o, since: c.now, contact: c.now, idleAt: c.now,
 		leaseEnd: c.now + c.cfg.Settings.AnswerBound() + l + leaseMargin(l),
 		pieces:   map[taskKey]workers.Piece{}, runs: map[taskKey]runMark{},
 		images: map[string]units.Micros{}, errors: map[string]bool{}, ended: map[taskKey]int{},
@@ -167,6 +169,20 @@
 	c.reply(q.To, 200, workers.Answer{Token: tok, Orders: c.orders(m)})
 }
 
+// steady reports whether the machine's reports have come, and been answered, for so
+// long without a gap.
+func (c *Core) steady(m *machine, long units.Micros) bool {
+	return c.now-m.rt.answered < 2*c.cfg.Settings.Report()+units.Second && c.now-m.rt.steady > long
+}
+
+// mute reports whether a machine answers what it is asked while none of its reports
+// has come for longer than a lease. Direct commands renew no lease, so all that it
+// is given ends with its session, again and again.
+func (c *Core) mute(m *machine) bool {
+	heard := max(m.rt.answered, m.rt.contact, c.entitledAt)
+	return c.now-heard > c.cfg.Settings.Lease()+2*c.cfg.Settings.Report()
+}
+
 // deafAfter is how many reports in a row may show that the answers before them
 // were lost. Fewer may be the luck of a bad network.
 const deafAfter = 3
@@ -293,6 +309,9 @@
 		c.log.Info("machine in a new session", "machine", m.name, "session", r.Session)
 		rt.runs = map[taskKey]runMark{}
 	}
+	if c.now-rt.heardAt > 2*c.cfg.Settings.Report()+units.Second {
+		rt.contact = c.now
+	}
 	rt.session, rt.seq, rt.heardAt, rt.failed = r.Session, r.Seq, c.now, 0
 	// Its session was alive when it reported, and may have begun just then: what
 	// was known of the end of an earlier one says nothing about this one.
@@ -414,12 +433,24 @@
 			}
 		}
 		if sick := n >= 2; sick != m.rt.sick {
-			m.rt.sick = sick
+			m.rt.sick, m.rt.sickAt = sick, c.now
 			c.log.Warn("machine fails tasks of several jobs", "machine", name, "no_more_work", sick)
 		}
 	}
 }
 
+// sickFor is how long a machine that fails tasks gets no work. Then it is tried once
+// more: what ailed it may be over, and jobs must not wait beside it for good.
+const sickFor = 45 * units.Second
+
+// recovered lets a sick machine try again.
+func (c *Core) recovered(m *machine) {
+	if m.rt.sick && c.now-m.rt.sickAt > sickFor {
+		m.rt.sick, m.rt.errors = false, map[string]bool{}
+		c.dirty = true
+	}
+}
+
 // failed backs off a job one of whose tasks failed.
 func (c *Core) failed(j *job) {
 	j.failures++
@@ -443,7 +474,9 @@
 	rt := m.rt
 	k := keyOf(t)
 	if p, ok := rt.pieces[k]; ok && rt.heardAt > 0 {
-		return p.State == workers.Ended || c.now > rt.leaseEnd
+		// Only a report under the present token tells of an end that lasts: an older one
+		// may be a late copy, and the attempt was started again in a later session.
+		return p.State == workers.Ended && rt.seen == c.token(m) || c.now > rt.leaseEnd
 	}
 	if c.now > rt.leaseEnd {
 		return true
@@ -461,6 +494,7 @@
 	// A task may be entered together with the stops that make room for it: it
 	// is launched once that room is free.
 	room := c.freeNow(m)
+	launch := c.mayLaunch()
 	listed := make(map[taskKey]bool, len(m.doc.Tasks))
 	// Whatever is entered may be waiting for room: what ranks higher has it first.
 	grade := func(t state.Task) int {
@@ -480,7 +514,7 @@
 			listed[k] = true
 			// One that is being given up must not be launched again meanwhile: the
 			// same write may have put it elsewhere.
-			if !there && !rt.leaving[k] && room.take(&c.rep.jobs[t.Job].spec) {
+			if !there && !rt.leaving[k] && launch && room.take(&c.rep.jobs[t.Job].spec) {
 				out = append(out, workers.Order{Op: workers.Launch, Task: k.task(), Attempt: t.Attempt})
 			}
 			continue
@@ -646,14 +680,20 @@
 		return
 	}
 	report := c.cfg.Settings.Report()
-	total, hearing := 0, 0
+	total, hearing, reporting := 0, 0, 0
 	zones := map[string]*zoneView{}
-	var silent, taken, deaf []*machine
+	var silent, taken, deaf, mute []*machine
 	for _, m := range c.sortedMachines() {
 		if m.rt == nil || !c.usable(m.part()) {
 			continue
 		}
 		total++
+		c.recovered(m)
+		if c.mute(m) {
+			mute = append(mute, m)
+		} else {
+			reporting++
+		}
 		z := zones[m.doc.Zone]
 		if z == nil {
 			z = &zoneView{}
@@ -709,17 +749,22 @@
 	}
 	// This node's own silence is no evidence. Most machines must be heard here,
 	// and every living controller must say that it does not hear the machine.
-	if len(silent)+len(deaf) == 0 || hearing*2 < total || !c.every("retire", units.Second) {
+	if len(silent)+len(deaf)+len(mute) == 0 || hearing*2 < total || !c.every("retire", units.Second) {
 		return
 	}
 	var gone []*machine
 	for _, m := range silent {
-		if len(gone) <= total/8 && !c.zones[m.doc.Zone].doubt && !c.othersHear(m.name, zones[m.doc.Zone].reached()) {
+		if len(gone) <= total/8 && m.rt.failed >= 2 && !c.zones[m.doc.Zone].doubt && !c.othersHear(m.name, zones[m.doc.Zone].reached()) {
 			gone = append(gone, m)
 		}
 	}
 	c.giveUp("silent", gone...)
 	c.giveUp("nothing reaches it", deaf...)
+	for _, m := range mute {
+		if reporting*2 >= total && c.now-m.rt.heardAt < report*3/2 && !c.othersHear(m.name, true) {
+			c.giveUp("it reaches nobody", m)
+		}
+	}
 }
 
 // zoneState is what is remembered of a zone that may be cut off.
@@ -744,9 +789,10 @@
 // gone the cloud's list will tell.
 func (c *Core) judgeZones(zones map[string]*zoneView) {
 	several := func(z *zoneView) bool { return z != nil && z.failing >= max(3, len(z.machines)/20) }
-	for zone := range c.zones {
+	for zone, s := range c.zones {
 		if !several(zones[zone]) {
 			delete(c.zones, zone)
+			zones[zone].back(s.doubt)
 		}
 	}
 	// With one zone alone, a silent majority is doubted anyway.
@@ -766,9 +812,11 @@
 			}
 		case c.now-s.asked > zoneAnswers:
 			answered := z.heardSince(s.asked - units.Second)
+			was := s.doubt
 			s.doubt = others && answered*4 < len(z.machines)
 			c.zones[zone] = s
 			if !s.doubt {
+				z.back(was)
 				continue
 			}
 			c.cloud.doubtAt = c.now
@@ -779,6 +827,18 @@
 	}
 }
 
+// back is called when a zone is no longer in doubt. What its machines did not answer
+// before says nothing about them, and none was idle: the last to be heard again were
+// once deleted as silent, and those that were to be emptied as idle.
+func (z *zoneView) back(doubted bool) {
+	if z == nil || !doubted {
+		return
+	}
+	for _, m := range z.machines {
+		m.rt.failed, m.rt.draining = 0, false
+	}
+}
+
 // heardSince counts the zone's machines that were heard since then.
 func (z *zoneView) heardSince(at units.Micros) int {
 	n := 0
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -97,6 +97,7 @@
 	observedAt units.Micros
 	flushAt    units.Micros // when its progress was last written
 	storedAs   string       // done, as it is stored
+	waitAt     units.Micros // since when tasks of it wait and none was placed; 0: none waits
 }
 
 type bind struct {
@@ -125,7 +126,7 @@
 	if was, ok := j.bound[n]; ok && was.attempt > b.attempt {
 		return
 	}
-	j.bound[n], j.live = b, -1
+	j.bound[n], j.live, j.waitAt = b, -1, 0
 }
 
 // unbind notes that a task is free.
--- a/internal/core/replica_test.go
+++ b/internal/core/replica_test.go
@@ -42,3 +42,25 @@
 		t.Errorf("still bound: %+v", j.bound)
 	}
 }
+
+// TestManyGaps has a job with more gaps among its done tasks than may be stored go on
+// by filling them: it once waited for good.
+func TestManyGaps(t *testing.T) {
+	j := &job{id: "j-1", known: true, bound: map[int]bind{}, live: -1}
+	j.spec.Tasks = 1000
+	for n := 1; n < 900; n += 3 {
+		j.done = j.done.With(n)
+	}
+	m := &machine{name: "n-1"}
+	started := 0
+	for n := j.next(0); n >= 0; n = j.next(n + 1) {
+		if n >= j.done.End() {
+			t.Fatalf("task %d would make what is stored longer", n)
+		}
+		j.bind(n, bind{m, 1})
+		started++
+	}
+	if started == 0 || started > maxHoles {
+		t.Errorf("%d tasks are started", started)
+	}
+}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -46,7 +46,9 @@
 	failing   units.Micros // since when every poll has failed; 0: not
 	servedAt  int          // polls answered in all when the failing began
 	askedAt   int
-	failed    int // polls in a row
+	failed    int          // polls in a row
+	bad       string       // why it must not be accepted
+	waits     units.Micros // since when a task of it has waited beside a machine with room; 0: none does
 }
 
 // NewChecker returns a checker that knows of no job.
@@ -66,6 +68,48 @@
 	}
 }
 
+// Bad registers that a job must not be accepted, and why.
+func (c *Checker) Bad(job, why string) { c.jobs[job].bad = why }
+
+// orderedWithin is how long after a confirmed cancellation a start may still be
+// ordered: until its commander has heard of it, or has noticed that it hears nothing.
+const orderedWithin = 6 * units.Second
+
+// Ordered is called when a machine carries out the order to start a task: given is
+// when it was sent. One that was under way at the cancellation may arrive late.
+func (c *Checker) Ordered(job string, n int, machine string, given units.Micros) {
+	if j := c.jobs[job]; j.cancelled > 0 && given > j.cancelled+orderedWithin {
+		c.fail("ran_cancelled", "%s/%d is ordered to start on %s %.1f s after its user was told", job, n, machine, (given - j.cancelled).Seconds())
+	}
+}
+
+// Waits is told whether a task of the job waits beside a machine that has room for
+// it, while nothing forbids it to run there.
+func (c *Checker) Waits(job, machine string, does bool) {
+	j := c.jobs[job]
+	switch {
+	case !does || c.Calm == 0 || c.now < c.Calm:
+		j.waits = 0
+	case j.waits == 0:
+		j.waits = c.now
+	case c.now-j.waits > 90*units.Second:
+		c.fail("left_waiting", "a task of %s has waited since %.1f, and %s has room for it", job, j.waits.Seconds(), machine)
+		j.waits = c.now
+	}
+}
+
+// AllDone reports whether all tasks of a job have completed.
+func (c *Checker) AllDone(job string) bool { return len(c.jobs[job].done) == c.jobs[job].spec.Tasks }
+
+// machinesOf lists the machines that a job's tasks are on.
+func (c *Checker) machinesOf(job string) []string {
+	var out []string
+	for _, n := range slices.Sorted(maps.Keys(c.jobs[job].on)) {
+		out = append(out, c.jobs[job].on[n])
+	}
+	return out
+}
+
 // IsDone reports whether a task has completed.
 func (c *Checker) IsDone(job string, n int) bool {
 	j := c.jobs[job]
@@ -226,6 +270,9 @@
 }
 
 func (c *Checker) told(j *checked, stage, was string) {
+	if j.bad != "" {
+		c.fail("accepted_bad", "%s is accepted, and it %s", j.spec.ID, j.bad)
+	}
 	if !j.accepted {
 		j.accepted, j.at = true, c.now
 	}
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -35,6 +35,33 @@
 			c.now += c.CancelIn + 1
 			c.On("m1", a, "j-1", 0)
 		}},
+		{"ran_cancelled", func(c *Checker) { // a start is ordered long after the confirmation
+			c.Aborting("j-1")
+			c.Answer("abort", "j-1", 200, "cancelled", c.Told("j-1"))
+			c.now += orderedWithin + 1
+			c.Ordered("j-1", 0, "m1", c.now)
+		}},
+		{"ran_cancelled", func(c *Checker) { // it goes on after its machine hung
+			c.On("m1", a, "j-1", 0)
+			c.Aborting("j-1")
+			c.Answer("abort", "j-1", 200, "cancelled", c.Told("j-1"))
+			for range 20 {
+				c.now += c.CancelIn / 10
+				c.Tick()
+			}
+		}},
+		{"left_waiting", func(c *Checker) {
+			c.Answer("submit", "j-1", 201, "pending", c.Told("j-1"))
+			c.Calm = units.Second
+			for range 20 {
+				c.now += 5 * units.Second
+				c.Waits("j-1", "m1", true)
+			}
+		}},
+		{"accepted_bad", func(c *Checker) {
+			c.Bad("j-1", "lacks a field")
+			c.Answer("submit", "j-1", 201, "pending", c.Told("j-1"))
+		}},
 		{"forgotten", func(c *Checker) {
 			c.Answer("submit", "j-1", 201, "pending", c.Told("j-1"))
 			c.Answer("poll", "j-1", 404, "", c.Told("j-1"))
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -185,7 +185,7 @@
 		})
 	}
 	for _, st := range s.steps {
-		if st.do != "submit" && st.do != "cancel" && st.do != "repeat" {
+		if st.do != "submit" && st.do != "cancel" && st.do != "repeat" && st.do != "cancel_now" {
 			over := units.Second + st.at + st.a.dur("for", 30)
 			if st.do == "roll" {
 				over += units.Micros(s.nodes) * st.a.dur("every", 20)
@@ -194,6 +194,7 @@
 		}
 	}
 	w.every(500*units.Millisecond, w.Rules.Tick)
+	w.every(waitEvery, w.waiting)
 	w.every(3*units.Second, w.users.stranger)
 	w.run(units.Second + s.end)
 	if failure != nil {
@@ -268,7 +269,26 @@
 			})
 		}
 	case "cut":
-		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: a.val("mode", "drop") == "hold", deaf: a.val("mode", "drop") == "deaf"})
+		mode := a.val("mode", "drop")
+		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: mode == "hold", deaf: mode == "deaf", mute: mode == "mute"})
+	case "late_writes":
+		w.store.late = a.num("share", 0.3)
+		w.after(length, func() { w.store.late = 0 })
+	case "late_reports":
+		w.copies = a.num("share", 0.3)
+		w.after(length, func() { w.copies = 0 })
+	case "slow_state":
+		w.store.slow = a.dur("by", 0.5)
+		w.after(length, func() { w.store.slow = 0 })
+	case "blind":
+		w.store.blind[a.str(0)] = w.now + length
+	case "cancel_now":
+		w.cancelNow(int(a.num("count", 8)), a.dur("hang", 0))
+	case "cancel_at_end":
+		w.users.cancelAtEnd = a.num("share", 0.5)
+		w.after(length, func() { w.users.cancelAtEnd = 0 })
+	case "odd":
+		w.users.odd(w.now + length)
 	case "freeze":
 		n := w.node(a.str(0))
 		if n == nil {
@@ -342,6 +362,24 @@
 	return up[:min(n, len(up))]
 }
 
+// cancelNow has users call off arrays that run and have long to go, within a fifth
+// of a second; up to eight of their machines hang for a while.
+func (w *World) cancelNow(count int, hang units.Micros) {
+	hung := 0
+	for _, j := range w.users.sorted() {
+		on := w.Rules.machinesOf(j.spec.ID)
+		if j.abort || j.accepted == 0 || j.runS < 10 || len(on) == 0 || count == 0 {
+			continue
+		}
+		count--
+		w.after(units.Micros(w.rng.Int64N(int64(units.Second/5))), func() { w.users.cancel(j.spec.ID) })
+		if k := w.workers[on[0]]; k != nil && hang > 0 && hung < 8 && w.now >= k.hungTo {
+			hung++
+			w.harm("hang", k, nil, hang)
+		}
+	}
+}
+
 func (w *World) harm(do string, k *worker, a *args, length units.Micros) {
 	switch do {
 	case "die":
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -25,6 +25,10 @@
 	writes  bucket
 	keep    int    // changes kept for watches
 	trimmed uint64 // revision up to which changes are no longer kept
+
+	late  float64                 // chance that a transaction gets no answer and is carried out late
+	slow  units.Micros            // how much longer than usual each answer takes
+	blind map[string]units.Micros // nodes whose watches tell nothing, until when
 }
 
 type entry struct {
@@ -72,7 +76,7 @@
 }
 
 func newStore(w *World) *store {
-	s := &store{w: w, keys: map[string]*entry{}, holds: map[uint64]*hold{}, refuse: map[string]units.Micros{},
+	s := &store{w: w, keys: map[string]*entry{}, holds: map[uint64]*hold{}, refuse: map[string]units.Micros{}, blind: map[string]units.Micros{},
 		reqs: bucket{rate: 250}, writes: bucket{rate: 25}, keep: 10000}
 	w.every(50*units.Millisecond, s.expire)
 	return s
@@ -85,6 +89,14 @@
 		limit = units.Micros(e.Req.HoldMs)*units.Millisecond + 5*units.Second
 	}
 	call(s.w, node, "state", limit, func(answer func(state.Response)) {
+		if e.Req.Kind == state.Commit && s.late > 0 && s.w.rng.Float64() < s.late {
+			s.w.after(units.FromSeconds(2+10*s.w.rng.Float64()), func() { s.serve(node, &e.Req, func(state.Response) {}) })
+			return
+		}
+		if s.slow > 0 {
+			s.w.after(units.Micros(s.w.rng.Int64N(int64(2*s.slow))), func() { s.serve(node, &e.Req, answer) })
+			return
+		}
 		s.serve(node, &e.Req, answer)
 	}, func(r state.Response, ok bool) {
 		if !ok {
@@ -248,8 +260,8 @@
 }
 
 func (s *store) fire(wt *watch, timeUp bool) {
-	if s.refused(wt.node) && !timeUp {
-		return
+	if s.refused(wt.node) && !timeUp || s.w.now < s.blind[wt.node] {
+		return // a blind node's watch is a connection that died without a sign
 	}
 	at := -1
 	for i, x := range s.watches {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -13,6 +13,9 @@
 type users struct {
 	w    *World
 	jobs map[string]*userJob
+
+	cancelAtEnd float64 // chance that a job is called off at the moment of its end
+	odds        int
 }
 
 type userJob struct {
@@ -24,6 +27,7 @@
 	stage    string
 	denied   int
 	abort    bool
+	bad      string // why it must not be accepted
 }
 
 func newUsers(w *World) *users { return &users{w: w, jobs: map[string]*userJob{}} }
@@ -86,10 +90,17 @@
 func (u *users) submit(j *userJob) {
 	u.jobs[j.spec.ID] = j
 	u.w.Rules.Submitted(&j.spec)
+	if j.bad != "" {
+		u.w.Rules.Bad(j.spec.ID, j.bad)
+	}
+	spec := &j.spec
+	if j.bad == "lacks a field" {
+		spec = nil
+	}
 	first := u.w.now
 	var try func()
 	try = func() {
-		u.ask(core.Submit, j.spec.ID, &j.spec, 5*units.Second, func(status int, body any, was string) {
+		u.ask(core.Submit, j.spec.ID, spec, 5*units.Second, func(status int, body any, was string) {
 			u.w.Rules.Answer("submit", j.spec.ID, status, stageOf(body), was)
 			switch status {
 			case 200, 201:
@@ -143,6 +154,52 @@
 	})
 }
 
+// odd sends what no user should send, until then: repeats of unfinished jobs, of
+// which some are malformed, cancellations of done ones, and jobs that can't run.
+func (u *users) odd(until units.Micros) {
+	if u.w.now > until {
+		return
+	}
+	u.w.after(700*units.Millisecond, func() { u.odd(until) })
+	all := u.sorted()
+	if len(all) == 0 {
+		return
+	}
+	j := all[u.w.rng.IntN(len(all))]
+	switch u.w.rng.IntN(4) {
+	case 0:
+		if j.accepted > 0 {
+			u.repeat(j.spec.ID, u.w.rng.IntN(2) == 0)
+		}
+	case 1:
+		if j.stage == core.Done && !j.abort {
+			u.cancel(j.spec.ID)
+		}
+	default:
+		u.odds++
+		o := &userJob{runS: 10, spec: j.spec}
+		o.spec.ID = fmt.Sprintf("j-%06d", 700000+u.odds)
+		switch u.w.rng.IntN(4) {
+		case 0:
+			o.bad, o.spec.CPUs = "fits no machine", 100000
+		case 1:
+			o.bad, o.spec.Team = "has no team", "nobody"
+		case 2:
+			o.bad, o.spec.Zone = "names no zone", "nowhere"
+		case 3:
+			o.bad = "lacks a field"
+		}
+		u.submit(o)
+	}
+}
+
+// ended may call a job off at the moment of its end.
+func (u *users) ended(id string) {
+	if j := u.jobs[id]; u.cancelAtEnd > 0 && !j.abort && u.w.rng.Float64() < u.cancelAtEnd {
+		u.cancel(id)
+	}
+}
+
 // stranger asks about a job that nobody submitted.
 func (u *users) stranger() {
 	id := fmt.Sprintf("j-%012d", 900000000000+u.w.rng.Int64N(1000))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -99,6 +99,9 @@
 	k.changed = true
 	if cause == workers.CauseDone {
 		k.w.Rules.Completed(t.job, t.num)
+		if k.w.Rules.AllDone(t.job) {
+			k.w.users.ended(t.job)
+		}
 	}
 }
 
@@ -219,7 +222,7 @@
 		}
 		k.raise(ans.Token)
 		k.answered = sent
-		k.obey(ans.Orders)
+		k.obey(ans.Orders, w.now)
 	})
 }
 
@@ -247,7 +250,8 @@
 	k.nextAt = k.w.now + units.Second
 }
 
-func (k *worker) obey(orders []workers.Order) {
+// obey carries out orders that were given at a time.
+func (k *worker) obey(orders []workers.Order, given units.Micros) {
 	for _, o := range orders {
 		job, num, _ := strings.Cut(o.Task, "/")
 		n, err := strconv.Atoi(num)
@@ -260,6 +264,7 @@
 			if t != nil && t.attempt == o.Attempt {
 				continue
 			}
+			k.w.Rules.Ordered(job, n, k.name, given)
 			k.launch(job, n, o.Attempt, t)
 		case workers.Kill:
 			if t == nil || t.attempt != o.Attempt || t.state == workers.Ended {
@@ -318,6 +323,7 @@
 // arrives while the machine hangs is carried out when it goes on.
 func (w *World) commandTo(node string, e core.WorkerCall, done func(core.WorkerDone)) {
 	name, _, _ := strings.Cut(e.Addr, ":")
+	given := w.now
 	call(w, node, name, 2*units.Second, func(answer func(core.WorkerDone)) {
 		k := w.workers[name]
 		if k == nil {
@@ -331,7 +337,7 @@
 					d.Status = 409
 				} else {
 					k.raise(e.Cmd.Token)
-					k.obey(e.Cmd.Orders)
+					k.obey(e.Cmd.Orders, given)
 				}
 			}
 			r := k.report()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -70,6 +70,7 @@
 	until units.Micros
 	hold  bool
 	deaf  bool // only what b sends to a is lost
+	mute  bool // only requests from b to a are lost: b answers what it is asked
 }
 
 // controller is one process of the service, or the gap between two.
@@ -136,9 +137,13 @@
 	return d
 }
 
-// blocked finds an interruption of what one host sends to another.
-func (w *World) blocked(from, to string) *cut {
+// blocked finds an interruption of what one host sends to another, a request or
+// an answer.
+func (w *World) blocked(from, to string, answer bool) *cut {
 	for _, c := range w.cuts {
+		if c.mute && answer {
+			continue
+		}
 		if c.some != nil {
 			if w.now < c.until && (c.some[from] || c.some[to]) {
 				return c
@@ -151,7 +156,7 @@
 			}
 			continue
 		}
-		if w.now < c.until && (matches(c.a, from) && matches(c.b, to) && !c.deaf || matches(c.a, to) && matches(c.b, from)) {
+		if w.now < c.until && (matches(c.a, from) && matches(c.b, to) && !c.deaf && !c.mute || matches(c.a, to) && matches(c.b, from)) {
 			return c
 		}
 	}
@@ -197,14 +202,14 @@
 	})
 	var deliver func()
 	deliver = func() {
-		if c := w.blocked(from, to); c != nil {
+		if c := w.blocked(from, to, false); c != nil {
 			if c.hold {
 				w.at(c.until+w.jitter(), deliver)
 			}
 			return
 		}
 		serve(func(v T) {
-			if w.blocked(to, from) != nil || w.rng.Float64() < w.flaky {
+			if w.blocked(to, from, true) != nil || w.rng.Float64() < w.flaky {
 				return
 			}
 			w.after(w.jitter(), func() { finish(v, true) })
@@ -337,7 +342,7 @@
 		w.commandTo(n.name, e, func(d core.WorkerDone) { mine(d) })
 	case core.SendBeat:
 		for _, o := range w.nodes {
-			if o == n || w.blocked(n.name, o.name) != nil {
+			if o == n || w.blocked(n.name, o.name, false) != nil {
 				continue
 			}
 			w.after(w.jitter(), func() { o.alive(func() { o.post(core.PeerBeat{Beat: e.Beat}) }) })
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -323,6 +323,14 @@
 // Ranges counts the ranges, which is what the set costs in the store.
 func (s Set) Ranges() int { return len(s.r) }
 
+// End is one more than the largest number in the set.
+func (s Set) End() int {
+	if len(s.r) == 0 {
+		return 0
+	}
+	return s.r[len(s.r)-1][1] + 1
+}
+
 // With returns the set with n added; s stays as it was.
 func (s Set) With(n int) Set {
 	if s.Has(n) {
