--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -269,9 +269,14 @@
 }
 
 // recall gives a team its guarantee: it takes the room back from work that
-// other teams run beyond theirs.
+// other teams run beyond theirs. That is for jobs that lie within the guarantee
+// only: a team that wants more than that waits as others do. When it did not, teams
+// that all wanted more than there was stopped each other's tasks by the thousand.
 func (c *Core) recall(b *batch, j *job, n int) bool {
-	if !b.within(j.spec.Team, j.spec.CPUs, j.spec.GPUs) {
+	if b.promised == nil {
+		b.promised = c.promised()
+	}
+	if !b.promised[j] || !b.within(j.spec.Team, j.spec.CPUs, j.spec.GPUs) {
 		return false
 	}
 	hole := holeOf(j)
@@ -280,12 +285,30 @@
 		return false
 	}
 	found := c.preempt(b, j, n, false, func(v *job) bool {
-		return v.spec.Team != j.spec.Team && !b.within(v.spec.Team, 0, 0)
+		// Not of a higher grade: that would take the place back at once, and so on, a
+		// change each time, while all others wait.
+		return v.spec.Team != j.spec.Team && v.spec.Grade <= j.spec.Grade && !b.within(v.spec.Team, 0, 0)
 	})
 	b.failed[hole] = !found
 	return found
 }
 
+// promised finds the jobs that lie within their team's guarantee: they fit into it
+// together with the team's earlier unfinished jobs.
+func (c *Core) promised() map[*job]bool {
+	out := map[*job]bool{}
+	wants := map[string]*usage{}
+	for _, j := range c.sortedJobs() {
+		if j.cancelled {
+			continue
+		}
+		addUse(wants, &j.spec, j.spec.Tasks-j.doneCount())
+		t, u := c.team(j.spec.Team), wants[j.spec.Team]
+		out[j] = t != nil && u.cpus <= t.CPUs+1e-9 && u.gpus <= t.GPUs+1e-9
+	}
+	return out
+}
+
 func (j *job) doneCount() int {
 	return j.done.Len() + len(j.extra)
 }
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -30,7 +30,7 @@
 		}
 	}
 	every := flushEvery
-	if c.plenty() {
+	if c.plenty() && !waits(jobs) {
 		every = 0
 	}
 	least := b.ops - b.ops/2 // the rest is for what waits to start
@@ -43,7 +43,8 @@
 			j.flushAt = c.now
 		}
 		open = append(open, j)
-		if c.now-j.flushAt >= every && !b.packs.edited(j) && b.ops > least {
+		// What is not stored counts as gaps, and too many of them would stop the job.
+		if (c.now-j.flushAt >= every || len(j.extra) > maxHoles/2) && !b.packs.edited(j) && b.ops > least {
 			b.flush(j)
 		}
 	}
@@ -54,6 +55,13 @@
 	}
 }
 
+// waits reports whether tasks of the jobs wait for a place: each change that stores
+// progress is one less that gives the places of ended tasks to the next ones. With
+// tasks of a few seconds two thirds of all changes went into progress.
+func waits(jobs []*job) bool {
+	return slices.ContainsFunc(jobs, func(j *job) bool { return !j.cancelled && j.waiting() > 0 })
+}
+
 // plenty reports whether changes are not scarce at the moment.
 func (c *Core) plenty() bool { return c.tokens > c.tokensMost/2 }
 
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -161,6 +161,114 @@
 	return b.String()
 }
 
+// meetings writes a scenario in which troubles meet in pairs, within seconds of each
+// other: those of the operators' list, on a small fleet with leases and cancellations
+// of the sites' lengths.
+func meetings(seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 13))
+	var b strings.Builder
+	pick := picker(rng)
+	times := pick("report=1 lease=11 cancel=36", "report=3 lease=22 cancel=47", "report=6 lease=31 cancel=56", "report=3 lease=42 cancel=62")
+	fmt.Fprintf(&b, "set nodes=%s end=520 seed=%d flaky=%s copies=%s value=%s writes=%s ops=%s keep=%s %s\n", pick("3", "3", "5"), seed,
+		pick("0", "0", "0.02"), pick("0", "0.05"), pick("2", "4", "8"), pick("25", "40"), pick("12", "32"), pick("40", "10000"), times)
+	b.WriteString("team red cpus=40 max=90\nteam blue max=70\nteam green cpus=30\n")
+	b.WriteString("type big cpus=16 mem=64 zones=a,b count=8 spot=4 fetch=0.3 boot=20\ntype small cpus=4 mem=16 zones=a,b count=6 boot=20\n")
+	b.WriteString("machines big n=5 zone=a\nmachines big n=4 zone=b\nmachines small n=3 zone=b\n")
+	for i := range 34 {
+		n := 1 + rng.IntN(12)
+		if rng.IntN(3) == 0 {
+			n = 2 + rng.IntN(2)
+		}
+		fmt.Fprintf(&b, "at %.1f submit j-%d n=%d team=%s run=%d cpus=%s spot=%s onezone=%s zone=%s grade=%s ckpt=%s save=%s gb=%s image=img%d broken=%s\n", 1+rng.Float64()*220, 10+i, n,
+			pick("red", "blue", "green"), 5+int(rng.Float64()*rng.Float64()*140), pick("1", "2", "4"), pick("yes", "no"), pick("no", "no", "yes"), pick("", "", "a", "b"),
+			pick("standard", "best_effort", "urgent"), pick("0", "0", "5"), pick("1", "4"), pick("0.2", "3"), rng.IntN(5), pick("no", "no", "no", "no", "no", "yes"))
+	}
+	for i := range 5 {
+		fmt.Fprintf(&b, "at %.1f submit j-%d kind=service n=%d team=%s cpus=2 spread=%s\n", 1+rng.Float64()*60, 80+i, 1+rng.IntN(4), pick("blue", "green"), pick("yes", "no"))
+	}
+	node := func() string { return fmt.Sprintf("node%d", rng.IntN(3)) }
+	say := func(t float64, format string, args ...any) {
+		fmt.Fprintf(&b, "at %.2f "+format+"\n", append([]any{max(t, 0.5)}, args...)...)
+	}
+	mode := func() string { return pick("hold", "drop") }
+	brief := func() float64 { return 0.15 + rng.Float64()*0.8 }
+	kinds := []func(t, d float64){
+		func(t, d float64) { // the gap
+			n := node()
+			if rng.IntN(2) == 0 {
+				say(t, "refuse %s for=%.1f", n, 4+d/4)
+			} else {
+				say(t, "cut %s state for=%.1f mode=%s", n, 4+d/4, mode())
+			}
+			say(t+rng.Float64()*3-1, "cancel_now count=%d hang=%.1f", 1+rng.IntN(5), float64(rng.IntN(2))*d/3)
+			say(t+1+rng.Float64()*2, "outage for=%.1f", 20+d)
+			if rng.IntN(2) == 0 {
+				say(t+20+d, "blind %s for=%.1f", n, rng.Float64()*4)
+			}
+		},
+		func(t, d float64) { // a leader apart
+			n := node()
+			say(t, "cut %s state for=%.1f mode=%s", n, d, mode())
+			say(t, "cut %s node* for=%.1f", n, d)
+			say(t+6+rng.Float64()*8, "cancel_now count=%d", 1+rng.IntN(4))
+		},
+		func(t, d float64) { say(t, "late_writes share=%.2f for=%.1f", 0.1+rng.Float64()*0.5, d*2) },
+		func(t, d float64) { // many leaders
+			for i := range 6 {
+				say(t+float64(i)*d/6, "crash %s for=%.2f", node(), either(rng, 0.2, 5))
+			}
+		},
+		func(t, d float64) { say(t, "cut node* n-* mode=mute for=%.1f", d) },
+		func(t, d float64) { say(t, "cut %s n-* mode=mute for=%.1f", node(), d) },
+		func(t, d float64) { say(t, "zonecut %s mode=%s for=%.1f", pick("a", "b"), mode(), d) },
+		func(t, d float64) { // reports held back across a take-over
+			n := node()
+			say(t, "cut %s n-* mode=hold for=%.1f", n, d/2)
+			say(t+rng.Float64()*d/2, "crash %s for=%.2f", node(), brief())
+		},
+		func(t, d float64) { say(t, "late_reports share=%.2f for=%.1f", 0.1+rng.Float64()*0.4, d*2) },
+		func(t, d float64) { // all end, and one returns
+			say(t, "crash node0,node1,node2 for=%.2f", either(rng, 0.3, 8))
+			say(t+1+rng.Float64(), "crash %s for=%.2f", node(), brief())
+		},
+		func(t, d float64) { // machines that can't be asked, and cancellations
+			say(t, "lose n=%d mode=%s for=%.1f", 1+rng.IntN(5), mode(), d)
+			say(t+rng.Float64()*4, "crash %s for=%.2f", node(), either(rng, 0.3, 6))
+			say(t+rng.Float64()*8, "cancel_now count=%d", 1+rng.IntN(3))
+		},
+		func(t, d float64) { say(t, "cut n-00000%d * mode=deaf for=%.1f", rng.IntN(9), d*2) },
+		func(t, d float64) { say(t, "slow_state by=%.2f for=%.1f", rng.Float64()*0.6, d) },
+		func(t, d float64) {
+			say(t, "cancel_at_end share=%.1f for=%.1f", 0.2+rng.Float64()*0.6, d)
+			say(t, "odd for=%.1f", d)
+		},
+		func(t, d float64) { // commands or answers held up, machines that hang and go on
+			say(t, "cut %s %s mode=hold for=%.1f", pick("node*", "n-*"), pick("n-*", "node*"), 2+d/6)
+			say(t+rng.Float64()*3, "cancel_now count=%d hang=%.1f", 1+rng.IntN(4), 2+d/3)
+		},
+		func(t, d float64) { say(t, "hang any n=%d for=%.1f", 1+rng.IntN(5), d) },
+		func(t, d float64) {
+			say(t, "%s any n=%d for=%.1f", pick("die", "reboot", "sick", "notice"), 1+rng.IntN(3), d)
+		},
+		func(t, d float64) { say(t, "crash node0,node1,node2,node%d for=%.1f", rng.IntN(3), 10+d) }, // all away
+		func(t, d float64) { say(t, "freeze %s for=%.1f", node(), d) },
+		func(t, d float64) { say(t, "blind %s for=%.1f", node(), d) },
+		func(t, d float64) { say(t, "roll every=%.1f for=%.2f", 1+rng.Float64()*12, either(rng, 0.3, 6)) },
+		func(t, d float64) { say(t, "cloud_outage for=%.1f", d) },
+		func(t, d float64) { say(t, "cut node* node* for=%.1f", d) },
+		func(t, d float64) {
+			say(t, "outage for=%.1f", d)
+			say(t+rng.Float64()*d, "crash %s for=%.2f", node(), brief())
+		},
+	}
+	for at := 25 + rng.Float64()*20; at < 230; at += 40 + rng.Float64()*50 {
+		for range 2 {
+			kinds[rng.IntN(len(kinds))](at+rng.Float64()*8, 5+rng.Float64()*45)
+		}
+	}
+	return b.String()
+}
+
 // either is about one of two lengths.
 func either(rng *rand.Rand, x, y float64) float64 {
 	if rng.IntN(2) == 0 {
@@ -202,5 +310,8 @@
 // TestChaos plays random days of small fleets.
 func TestChaos(t *testing.T) { playSeeds(t, chaos, "CHAOS", 1, 20) }
 
+// TestMeetings plays random days on which troubles meet in pairs.
+func TestMeetings(t *testing.T) { playSeeds(t, meetings, "MEETINGS", 1, 24) }
+
 // TestFleets plays random days of large ones.
 func TestFleets(t *testing.T) { playSeeds(t, fleet, "FLEETS", 1, 4) }
