--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -121,8 +121,10 @@
 // placeUpTo places up to so many tasks of an array, and returns how many it did.
 func (b *batch) placeUpTo(j *job, most int) int {
 	c := b.c
-	if j.failures >= 3 {
-		most = min(most, 1-j.active()) // it fails wherever it runs: try one task at a time
+	if j.failures >= 3 && !c.presses(j) {
+		// It fails wherever it runs: try one task at a time. But one that has run on for
+		// long is no failure, and the others need not wait for its end.
+		most = min(most, 1-j.active())
 	}
 	most = min(most, j.waiting())
 	if most <= 0 {
