--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -121,10 +121,8 @@
 // placeUpTo places up to so many tasks of an array, and returns how many it did.
 func (b *batch) placeUpTo(j *job, most int) int {
 	c := b.c
-	if j.failures >= 3 && !c.presses(j) {
-		// It fails wherever it runs: try one task at a time. But one that has run on for
-		// long is no failure, and the others need not wait for its end.
-		most = min(most, 1-j.active())
+	if j.failures >= 3 {
+		most = min(most, 1-j.active()) // it fails wherever it runs: try one task at a time
 	}
 	most = min(most, j.waiting())
 	if most <= 0 {
@@ -157,36 +155,44 @@
 // ones wait, and the last in the order would wait for all others.
 func (b *batch) hold(j *job) {
 	c := b.c
-	if c.wall-units.Micros(j.spec.At) < beginWithin || len(b.o.held) > len(b.drafts)/20 || !b.underLimit(j) {
+	if j.failures > 0 || c.now < b.o.holdFrom || c.wall-units.Micros(j.spec.At) < beginWithin || len(b.o.held) > len(b.drafts)/20 || !b.underLimit(j) {
 		return
 	}
-	for _, id := range b.o.held {
-		if id == j.id {
+	for _, k := range b.o.held {
+		if k.job == j.id {
 			return
 		}
 	}
 	var best *draft
 	for _, d := range b.drafts {
 		t := c.machineType(d.m.doc.Type)
-		if d.gd.own && d.usable && b.o.held[d.m.name] == "" && t != nil && intake.Fits(&j.spec, t) && c.allowed(j, d.m) && (best == nil || d.cpus > best.cpus) {
+		if d.gd.own && d.usable && b.o.held[d.m.name].job == "" && t != nil && intake.Fits(&j.spec, t) && c.allowed(j, d.m) && (best == nil || d.cpus > best.cpus) {
 			best = d
 		}
 	}
 	if best != nil {
-		b.o.held[best.m.name] = j.id
+		b.o.held[best.m.name] = kept{j.id, c.now}
 		c.log.Info("keep a machine free", "machine", best.m.name, "for", j.id)
 	}
 }
 
 // holds drops the machines that need not be kept free any more.
 func (b *batch) holds(active []*job) {
-	for name, id := range b.o.held {
-		if !slices.ContainsFunc(active, func(j *job) bool { return j.id == id && j.active() == 0 && j.doneCount() == 0 }) {
+	for name, k := range b.o.held {
+		needed := slices.ContainsFunc(active, func(j *job) bool { return j.id == k.job && j.active() == 0 && j.doneCount() == 0 && j.failures == 0 })
+		if !needed || b.c.now-k.at > heldFor {
 			delete(b.o.held, name)
 		}
+		if needed && b.c.now-k.at > heldFor {
+			b.o.holdFrom = b.c.now + heldFor/2
+		}
 	}
 }
 
+// heldFor is how long a machine may be kept free in one go. Small jobs beside it must
+// not wait for as long as the large one does.
+const heldFor = 60 * units.Second
+
 // lookAhead counts the room of tasks that are about to end as free. What is
 // entered there is launched the moment that room is free, without waiting for
 // the next write of the group; it is lost to nobody, since whatever ranks higher
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -20,9 +20,16 @@
 	seq      uint64
 	refresh  units.Micros
 	pauseTo  units.Micros
-	planAt   units.Micros      // not before
-	held     map[string]string // machines kept free, and for which job
-	needRev  uint64            // no planning before the replica has come this far
+	planAt   units.Micros    // not before
+	held     map[string]kept // machines kept free
+	holdFrom units.Micros    // none is kept free before
+	needRev  uint64          // no planning before the replica has come this far
+}
+
+// kept is for which job a machine is kept free, and since when.
+type kept struct {
+	job string
+	at  units.Micros
 }
 
 const holdTTL = 5 * units.Second
@@ -119,7 +126,7 @@
 	o := c.owned[n]
 	switch {
 	case mine && (o == nil || o.stamp != p.stamp):
-		o = &own{n: n, stamp: p.stamp, epoch: p.doc.Epoch, since: c.now, held: map[string]string{}}
+		o = &own{n: n, stamp: p.stamp, epoch: p.doc.Epoch, since: c.now, held: map[string]kept{}}
 		c.owned[n] = o
 		c.log.Info("own partition", "partition", n, "epoch", o.epoch)
 		for _, m := range c.sortedMachines() {
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -95,11 +95,17 @@
 // another partition, or about to be emptied, once stayed so for minutes.
 const pressingAfter = 40 * units.Second
 
+// ranOn is how long after its last failure a job whose tasks are active counts as well.
+const ranOn = 30 * units.Second
+
 // pressing lists the jobs that have waited for so long; it is to be called every second.
 func (c *Core) pressing() []*job {
 	var out []*job
 	using := c.teamUsage()
 	for _, j := range c.sortedJobs() {
+		if j.failures > 0 && j.active() > 0 && c.now-j.failedAt > ranOn {
+			j.failures = 0 // what has run on for so long is no failure: the others need not wait for its end
+		}
 		switch {
 		case j.cancelled || c.now < j.retryAt || j.waiting() == 0 || c.quotaRoom(j, using) == 0:
 			j.waitAt = 0
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -428,7 +428,7 @@
 		if !j.spec.Service && !presses && (b.picked && !d.gd.picked && !d.gd.changed || b.spoken(d.gd)) {
 			continue // not among those of this batch, or its own jobs wait for that room
 		}
-		if held := b.o.held[d.m.name]; held != "" && held != j.id && !j.spec.Service && !presses {
+		if held := b.o.held[d.m.name].job; held != "" && held != j.id && !j.spec.Service && !presses {
 			continue
 		}
 		score := -d.cpus
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -454,6 +454,7 @@
 // failed backs off a job one of whose tasks failed.
 func (c *Core) failed(j *job) {
 	j.failures++
+	j.failedAt = c.now
 	j.retryAt = c.now + min(units.Second<<min(j.failures/2, 6), 40*units.Second)
 }
 
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -90,6 +90,7 @@
 	runCount   int
 	share      float64
 	failures   int
+	failedAt   units.Micros    // when it last failed
 	failedOn   map[string]bool // machines of this node on which it failed
 	wellOnce   bool            // one of its tasks completed
 	retryAt    units.Micros
