An end counts for a team's limit and for zones only once it is stored

Whoever commands a machine now writes ends down with whatever it writes of its group, at once for a team at its limit.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -93,7 +93,7 @@
 // may use any room that it fits into, whatever that room is kept for: no job may wait
 // for 90 s beside a machine that could take it. What is kept free for others, left to
 // another partition, or about to be emptied, once stayed so for minutes.
-const pressingAfter = 40 * units.Second
+const pressingAfter = 30 * units.Second
 
 // ranOn is how long after its last failure a job whose tasks are active counts as well.
 const ranOn = 30 * units.Second
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -93,15 +93,29 @@
 }
 
 // ran is how the end of a task that its commander saw complete is written down
-// for another controller that owns its job; zero if there is nothing to tell.
+// beside it; zero if there is nothing to tell. It frees the task's part of its team's
+// limit, and tells the job's owner if that is another.
 func (c *Core) ran(m *machine, t *state.Task) int {
 	j := c.rep.jobs[t.Job]
-	if j == nil || !j.known || m.rt == nil || c.owned[j.part] != nil || !j.extra[t.Num] {
+	if j == nil || !j.known || m.rt == nil || !j.extra[t.Num] {
 		return 0
 	}
+	if c.owned[j.part] != nil {
+		return 1 // how long it ran goes with the progress; alike, neighbours stay one range
+	}
 	return max(1, m.rt.ended[keyOf(*t)])
 }
 
+// tells reports whether the end of a task must be written down for another
+// controller, which owns its job, or since its team is at its limit.
+func (c *Core) tells(m *machine, t *state.Task, using map[string]*usage) bool {
+	if t.Ran > 0 || c.ran(m, t) == 0 {
+		return false
+	}
+	j := c.rep.jobs[t.Job]
+	return c.owned[j.part] == nil || j.waiting() > 0 && c.quotaRoom(j, using) == 0
+}
+
 func (gd *groupDraft) adds() bool {
 	return slices.ContainsFunc(gd.drafts, func(d *draft) bool { return len(d.added) > 0 })
 }
@@ -398,7 +412,7 @@
 func zoneAllowed(j *job, zone string) bool {
 	same := 0
 	for n, o := range j.bound {
-		if j.isDone(n) {
+		if j.stored(n) {
 			continue
 		}
 		if o.m.doc.Zone == zone {
@@ -557,8 +571,7 @@
 				continue
 			}
 			for i := range d.keep {
-				t := &d.keep[i]
-				if t.Ran == 0 && c.ran(d.m, t) > 0 {
+				if c.tells(d.m, &d.keep[i], b.using) {
 					b.touch(gd)
 					break
 				}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -441,7 +441,7 @@
 
 // sickFor is how long a machine that fails tasks gets no work. Then it is tried once
 // more: what ailed it may be over, and jobs must not wait beside it for good.
-const sickFor = 45 * units.Second
+const sickFor = 30 * units.Second
 
 // recovered lets a sick machine try again.
 func (c *Core) recovered(m *machine) {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -108,12 +108,12 @@
 	return out
 }
 
-// teamUsage is what each team's tasks take: whatever may be running, returned
-// machines, doubt and writes under way included.
+// teamUsage is what each team's tasks take: whatever may be running, or be started
+// again, returned machines, doubt and writes under way included.
 func (c *Core) teamUsage() map[string]*usage {
 	using := map[string]*usage{}
 	for _, j := range c.sortedJobs() {
-		addUse(using, &j.spec, j.active())
+		addUse(using, &j.spec, j.reserved())
 	}
 	return using
 }
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -82,6 +82,8 @@
 	cancelled bool
 	bound     map[int]bind // by task number: where it may be
 	live      int          // of bound, those not known to be done; -1 when that must be counted
+	holding   int          // of bound, those whose end is not stored; counted with live
+	noted     map[int]bool // of bound, those whose end stands beside them in their machine's entry
 	part      int
 
 	// The owner's own knowledge, lost with it.
@@ -108,17 +110,37 @@
 
 // active counts the tasks that may be running.
 func (j *job) active() int {
-	if j.live < 0 {
-		j.live = 0
-		for n := range j.bound {
-			if !j.isDone(n) {
-				j.live++
-			}
+	j.count()
+	return j.live
+}
+
+// reserved counts the tasks that take room of their team's limit: all whose end is
+// not stored. An end that only this process knows is lost with it, and if the
+// machine's lease ends too the task is started once more, beside those that took its
+// place: a team was over its limit that way, and could be in two zones.
+func (j *job) reserved() int {
+	j.count()
+	return j.holding
+}
+
+func (j *job) count() {
+	if j.live >= 0 {
+		return
+	}
+	j.live, j.holding = 0, 0
+	for n := range j.bound {
+		if !j.isDone(n) {
+			j.live++
+		}
+		if !j.stored(n) {
+			j.holding++
 		}
 	}
-	return j.live
 }
 
+// stored reports whether the end of a task is stored, so that nobody starts it again.
+func (j *job) stored(n int) bool { return j.done.Has(n) || j.noted[n] }
+
 // bind notes where a task may be. Of two entries the one with the later attempt is
 // the true one: while a copy is loaded, documents that were read late stand beside
 // earlier changes of others, and those are shown once more. An earlier entry that
@@ -128,11 +150,13 @@
 		return
 	}
 	j.bound[n], j.live, j.waitAt = b, -1, 0
+	delete(j.noted, n)
 }
 
 // unbind notes that a task is free.
 func (j *job) unbind(n int) {
 	delete(j.bound, n)
+	delete(j.noted, n)
 	j.live = -1
 }
 
@@ -381,6 +405,12 @@
 			if t.Ran > 0 && !j.isDone(t.Num) {
 				c.completed(j, t.Num, units.Micros(t.Ran-1)*100*units.Millisecond)
 			}
+			if b := j.bound[t.Num]; t.Ran > 0 && b.m == m && b.attempt == t.Attempt {
+				if j.noted == nil {
+					j.noted = map[int]bool{}
+				}
+				j.noted[t.Num], j.live = true, -1
+			}
 		}
 		if !moved && own == nil {
 			c.missed(old.Tasks)
