A recall spares services of a higher grade only

Arrays never take a place back by grade, so nothing goes to and fro with them; sparing all higher grades would have kept the ledger's best-effort team from its guarantee.

--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -293,9 +293,9 @@
 		return false
 	}
 	found := c.preempt(b, j, n, false, func(v *job) bool {
-		// Not of a higher grade: that would take the place back at once, and so on, a
-		// change each time, while all others wait.
-		return v.spec.Team != j.spec.Team && v.spec.Grade <= j.spec.Grade && !b.within(v.spec.Team, 0, 0)
+		// Not a service of a higher grade: it would take the place back at once, and so
+		// on, a change each time, while all others wait.
+		return v.spec.Team != j.spec.Team && (!v.spec.Service || v.spec.Grade <= j.spec.Grade) && !b.within(v.spec.Team, 0, 0)
 	})
 	b.failed[hole] = !found
 	return found
