--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -32,7 +32,6 @@
 		}
 	}
 	var active []*job
-	sum, known := units.Micros(0), 0
 	average := map[*job]units.Micros{}
 	running := map[*job]int{}
 	for _, j := range jobs {
@@ -41,31 +40,25 @@
 		}
 		running[j] = j.active()
 		room += float64(running[j]) * j.spec.CPUs
-		if average[j] = c.observed(j); average[j] > 0 {
-			sum += average[j]
-			known++
-		}
+		average[j] = c.observed(j)
 		active = append(active, j)
 	}
 	if len(active) == 0 {
 		return
 	}
-	borrowed := firstGuess
-	if known > 0 {
-		borrowed = sum / units.Micros(known)
-	}
 	if c.now-b.o.refresh >= c.pol.Refresh {
 		b.o.refresh = c.now
 		for _, j := range active {
 			j.share = 0
 		}
 	}
+	c.updateClassAverages()
 	list := make([]placement.Job, 0, len(active))
 	byID := map[string]*job{}
 	for _, j := range active {
 		avg := average[j]
 		if avg == 0 {
-			avg = borrowed
+			avg = c.borrowedAverage(j)
 		}
 		cap := 0
 		for i := range c.cloud.types {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,8 @@
 	entering  map[string]*entry    // machines about to be entered
 	zones     map[string]zoneState // those that may be cut off
 
+	classAverage map[string]units.Micros // average task time by class of jobs, as last known
+
 	cloud  cloudState
 	lastAt map[string]units.Micros // when each periodic duty was last done
 }
@@ -97,7 +99,7 @@
 		stateCalls: map[uint64]func(state.Response){}, cloudCalls: map[uint64]func(CloudDone){}, cmdCalls: map[uint64]func(WorkerDone){},
 		incBase: inc, inc: inc, owned: map[int]*own{}, writing: map[string]bool{},
 		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*entry{}, zones: map[string]zoneState{}, written: map[string]int{},
-		cloud: newCloudState(), lastAt: map[string]units.Micros{},
+		cloud: newCloudState(), lastAt: map[string]units.Micros{}, classAverage: map[string]units.Micros{},
 	}
 	for _, t := range cfg.Settings.Teams {
 		if p := c.partOf(t.Name); !slices.Contains(c.teamParts, p) {
--- /dev/null
+++ b/internal/core/estimates_test.go
@@ -0,0 +1,52 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"frostdock.example/frostdock/internal/config"
+	"frostdock.example/frostdock/internal/policy"
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// TestBorrowedAverage guards against an average over jobs of all kinds, under which new
+// jobs of short tasks waited behind jobs of long ones.
+func TestBorrowedAverage(t *testing.T) {
+	c := New(&config.Config{Member: "a", Settings: config.Settings{Size: 1, Teams: []config.Team{{Name: "red"}}}}, policy.Default(), slog.New(slog.NewTextHandler(io.Discard, nil)), "test")
+	c.now = units.Second
+	add := func(id, class string, estimateS float64, averageS float64) *job {
+		j := c.rep.job(id)
+		j.known, j.spec = true, state.Job{ID: id, Class: class, EstS: estimateS}
+		if averageS > 0 {
+			j.avg, j.avgOf = units.FromSeconds(averageS), 10
+		}
+		return j
+	}
+	add("j-1", "long", 0, 50)
+	add("j-2", "long", 0, 70)
+	short := add("j-3", "short", 0, 5)
+	c.rep.byAge = nil
+	c.updateClassAverages()
+	for _, tc := range []struct {
+		j    *job
+		want units.Micros
+	}{
+		{add("j-4", "long", 9, 0), 60 * units.Second},
+		{add("j-5", "short", 9, 0), 5 * units.Second},
+		{add("j-6", "unseen", 9, 0), 9 * units.Second},
+		{add("j-7", "unseen", 0, 0), firstGuess},
+	} {
+		if got := c.borrowedAverage(tc.j); got != tc.want {
+			t.Errorf("%s of class %s: %v, want %v", tc.j.id, tc.j.spec.Class, got, tc.want)
+		}
+	}
+	short.known = false
+	c.rep.byAge = nil
+	c.now += 2 * classAveragePeriod
+	c.updateClassAverages()
+	if got := c.borrowedAverage(c.rep.job("j-5")); got != 5*units.Second {
+		t.Errorf("the class's last average is forgotten: %v", got)
+	}
+}
