--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -239,9 +239,27 @@
 			left += r.free
 		}
 	}
-	return left < soon
+	return left < soon && b.revisitPeriod() > worthQueueing
 }
 
+// revisitPeriod is how long it takes, on average, until each of the partition's groups
+// has been written once more.
+func (b *batch) revisitPeriod() units.Micros {
+	own := 0
+	for _, gd := range b.groups {
+		if gd.own {
+			own++
+		}
+	}
+	return units.FromSeconds(float64(own) / b.c.writeRate())
+}
+
+// worthQueueing is the revisit period above which tasks queue behind others that are
+// expected to end soon. A freed place waits half of that period for the next write of
+// its group; a task that is queued waits for longer when the expectation is wrong, as
+// it is for a job whose tasks differ, and it cannot go elsewhere meanwhile.
+const worthQueueing = 2 * units.Second
+
 // spoken reports whether a group's room is left to its own partition's jobs, which
 // wait. If they have not taken it for a while they cannot: their team is at its
 // limit, they fail, or fit nowhere there. One such task once kept all others off a
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -20,11 +20,22 @@
 	busy              // the same, because too much was asked at once
 )
 
-// refill gives this node its part of the permitted changes: most of them to the
-// owners of teams' partitions, the rest to all for accepts and cancellations.
-// Not all are busy at once, so the parts add up to a little more than the whole;
-// the service's 429 corrects what is too much.
+// refill gives this node the changes that it may make since the last time.
 func (c *Core) refill() {
+	rate := c.writeRate()
+	c.tokens += rate * (c.now - c.tokensAt).Seconds()
+	// A slow store must still let a job's end through, which is several changes
+	// in one: kept below that, no job would ever be over.
+	c.tokensMost = max(rate, min(c.cfg.Settings.State.WriteRPS, 8))
+	c.tokens = min(c.tokens, c.tokensMost)
+	c.tokensAt = c.now
+}
+
+// writeRate is this node's part of the permitted changes, per second: most of them go
+// to the owners of teams' partitions, the rest to all for accepts and cancellations.
+// Not all are busy at once, so the parts add up to a little more than the whole; the
+// service's 429 corrects what is too much.
+func (c *Core) writeRate() float64 {
 	whole := c.cfg.Settings.State.WriteRPS
 	owners := map[string]bool{}
 	mine := false
@@ -36,14 +47,9 @@
 	}
 	rate := 0.2 * whole
 	if mine {
-		rate = max(rate, 0.88*whole/float64(len(owners)))
+		rate = max(rate, 0.88*whole/float64(max(1, len(owners))))
 	}
-	c.tokens += rate * (c.now - c.tokensAt).Seconds()
-	// A slow store must still let a job's end through, which is several changes
-	// in one: kept below that, no job would ever be over.
-	c.tokensMost = max(rate, min(whole, 8))
-	c.tokens = min(c.tokens, c.tokensMost)
-	c.tokensAt = c.now
+	return rate
 }
 
 // mayOwe reports whether what goes before the rest may still be written. Accepts
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -130,6 +130,10 @@
 	return true
 }
 
+// gradeCost keeps the grades apart when losses, in seconds, are compared: the lower grade
+// is stopped first, whatever it loses.
+const gradeCost = 1000
+
 // cheapest finds the eligible task on d that loses least when it is stopped.
 func (c *Core) cheapest(d *draft, eligible func(*job) bool, not []taskKey) (taskKey, float64, bool) {
 	var best taskKey
@@ -155,7 +159,10 @@
 				cost = min(cost, j.spec.CkptS)
 			}
 		}
-		cost += float64(j.spec.Grade) * 1000
+		cost += float64(j.spec.Grade) * gradeCost
+		// By CPUs, so that one large task is not stopped where a few small ones that have
+		// just begun would do.
+		cost *= j.spec.CPUs
 		if !found || cost < bestCost {
 			best, bestCost, found = k, cost, true
 		}
