--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -88,7 +88,6 @@
 	share := func(j *job) int { return max(1, int(j.share/j.spec.CPUs+1e-9)) }
 	// First one task of each job that has waited for long, whatever its size: it
 	// shows how long its tasks take, and no flood of smaller ones keeps it waiting.
-	// Then each up to its share, and what is left over to whoever can use it.
 	for _, j := range jobsInOrder {
 		if !begun(j) && c.wall-units.Micros(j.spec.At) > beginWithin/2 {
 			running[j] += b.placeUpTo(j, 1)
@@ -97,6 +96,15 @@
 			}
 		}
 	}
+	// Then what lies within its team's guarantee: it need not wait for other teams, and
+	// takes the room that falls free before any is taken back for it.
+	b.guaranteed = c.guaranteedJobs()
+	for _, j := range jobsInOrder {
+		if b.guaranteed[j] {
+			running[j] += b.placeUpTo(j, j.spec.Tasks-running[j])
+		}
+	}
+	// Then each up to its share, and what is left over to whoever can use it.
 	for _, j := range jobsInOrder {
 		running[j] += b.placeUpTo(j, min(share(j), j.spec.Tasks)-running[j])
 	}
@@ -247,7 +255,7 @@
 func (b *batch) revisitPeriod() units.Micros {
 	own := 0
 	for _, gd := range b.groups {
-		if gd.own {
+		if gd.own && len(gd.drafts) > 0 {
 			own++
 		}
 	}
@@ -287,47 +295,6 @@
 	return w
 }
 
-// recall gives a team its guarantee: it takes the room back from work that
-// other teams run beyond theirs. That is for jobs that lie within the guarantee
-// only: a team that wants more than that waits as others do. When it did not, teams
-// that all wanted more than there was stopped each other's tasks by the thousand.
-func (c *Core) recall(b *batch, j *job, n int) bool {
-	if b.promised == nil {
-		b.promised = c.promised()
-	}
-	if !b.promised[j] || !b.within(j.spec.Team, j.spec.CPUs, j.spec.GPUs) {
-		return false
-	}
-	hole := holeOf(j)
-	hole.recall = true
-	if b.failed[hole] {
-		return false
-	}
-	found := c.preempt(b, j, n, false, func(v *job) bool {
-		// Not a service of a higher grade: it would take the place back at once, and so
-		// on, a change each time, while all others wait.
-		return v.spec.Team != j.spec.Team && (!v.spec.Service || v.spec.Grade <= j.spec.Grade) && !b.within(v.spec.Team, 0, 0)
-	})
-	b.failed[hole] = !found
-	return found
-}
-
-// promised finds the jobs that lie within their team's guarantee: they fit into it
-// together with the team's earlier unfinished jobs.
-func (c *Core) promised() map[*job]bool {
-	out := map[*job]bool{}
-	wants := map[string]*usage{}
-	for _, j := range c.sortedJobs() {
-		if j.cancelled {
-			continue
-		}
-		addUse(wants, &j.spec, j.spec.Tasks-j.doneCount())
-		t, u := c.team(j.spec.Team), wants[j.spec.Team]
-		out[j] = t != nil && u.cpus <= t.CPUs+1e-9 && u.gpus <= t.GPUs+1e-9
-	}
-	return out
-}
-
 func (j *job) doneCount() int {
 	return j.done.Len() + len(j.extra)
 }
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -119,12 +119,12 @@
 }
 
 // presses reports whether the job has waited for too long.
-func (c *Core) presses(j *job) bool { return j.waitAt > 0 && c.now-j.waitAt > pressingAfter }
+func (c *Core) presses(j *job) bool { return c.waitedFor(j) > pressingAfter }
 
 // passedOver reports whether none of the job's tasks was placed for some seconds: the
 // groups that arrays are to use are those with the most room, which may be of no use
 // to a job that is bound to a zone.
-func (c *Core) passedOver(j *job) bool { return j.waitAt > 0 && c.now-j.waitAt > 5*units.Second }
+func (c *Core) passedOver(j *job) bool { return c.waitedFor(j) > 5*units.Second }
 
 // roomOn is what the tasks bound to a machine leave of it.
 func (c *Core) roomOn(m *machine, t *provision.Type) *gap {
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -494,6 +494,9 @@
 	b.size -= taskBytes
 	addUse(b.using, &j.spec, 1)
 	j.bind(n, bind{d.m, t.Attempt}) // taken back if the batch is not stored
+	// Only here: an entry that is read once more, because something else on its machine has
+	// changed, is no new place, and a job beside it waited for minutes.
+	j.waitAt = 0
 }
 
 // dropGone drops machines whose deletion the cloud has confirmed, and frees the
--- /dev/null
+++ b/internal/core/guarantee.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"math"
+
+	"frostdock.example/frostdock/internal/units"
+)
+
+// guaranteedJobs finds the jobs that lie within their team's guarantee: they fit into it
+// together with the team's earlier unfinished jobs.
+func (c *Core) guaranteedJobs() map[*job]bool {
+	guaranteed := map[*job]bool{}
+	wants := map[string]*usage{}
+	for _, j := range c.sortedJobs() {
+		if j.cancelled {
+			continue
+		}
+		addUse(wants, &j.spec, j.spec.Tasks-j.doneCount())
+		team, want := c.team(j.spec.Team), wants[j.spec.Team]
+		guaranteed[j] = team != nil && want.cpus <= team.CPUs+1e-9 && want.gpus <= team.GPUs+1e-9
+	}
+	return guaranteed
+}
+
+// recall gives a team its guarantee: it takes room back from work that other teams run
+// beyond theirs. That is for jobs within the guarantee only: a team that wants more waits
+// as others do. When it did not, teams that all wanted more than there was stopped each
+// other's tasks by the thousand. It reports whether task n of j was placed.
+func (c *Core) recall(b *batch, j *job, n int) bool {
+	if !b.guaranteed[j] || !b.within(j.spec.Team, j.spec.CPUs, j.spec.GPUs) {
+		return false
+	}
+	hole := holeOf(j)
+	hole.recall = c.recallable(j)
+	if b.failed[hole] {
+		return false
+	}
+	found := c.preempt(b, j, n, false, victims{
+		eligible: func(v *job) bool {
+			// Not a service of a higher grade: it would take the place back at once, and so
+			// on, a change each time, while all others wait.
+			return v.spec.Team != j.spec.Team && (!v.spec.Service || v.spec.Grade <= j.spec.Grade) && !b.within(v.spec.Team, 0, 0)
+		},
+		maxLoss: hole.recall,
+	})
+	b.failed[hole] = !found
+	return found
+}
+
+// recallable is how much work may be lost with one task that is stopped for j, in whole
+// seconds, so that jobs that have waited alike need not be tried one by one. Room falls
+// free all the time, and a job within its guarantee has the first claim on it: what has
+// just begun is stopped at once, what has run for long only for a job that has waited for
+// half as long, or is pressing. When anything was stopped at once, a tenth of all CPU time
+// was lost that way.
+func (c *Core) recallable(j *job) units.Micros {
+	if c.presses(j) {
+		return math.MaxInt64
+	}
+	seconds := 2 * c.waitedFor(j) / units.Second
+	return max(1, seconds) * units.Second
+}
+
+// waitedFor is how long tasks of the job have waited and none was placed.
+func (c *Core) waitedFor(j *job) units.Micros {
+	if j.waitAt == 0 {
+		return 0
+	}
+	return c.now - j.waitAt
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -21,6 +21,8 @@
 	rt    *runtime
 	gone  bool    // the cloud has confirmed its deletion: the entry may go
 	views [2]view // kept for plans: as somebody else sees it, and as its commander does
+
+	enteredAt map[taskKey]units.Micros // when each task of its entry was first seen there
 }
 
 // part is the partition that commands the machine; -1 when it is retired:
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -7,25 +7,25 @@
 
 // batch gathers the changes of one partition into one transaction.
 type batch struct {
-	c        *Core
-	o        *own
-	mark     string
-	groups   []*groupDraft
-	drafts   []*draft // of all groups, those that can take tasks now
-	ops      int      // operations that are still free
-	size     int      // bytes that are still free
-	finals   []state.Op
-	guards   []state.Guard
-	cleared  map[*shelf]map[string]bool // jobs that leave their shelves
-	packs    *packing
-	using    map[string]*usage
-	saved    []savedRuns
-	busy     map[int]bool     // partitions with waiting tasks of their own
-	failed   map[holeKey]bool // what found no room in this batch, even by preemption
-	promised map[*job]bool    // jobs within their teams' guarantees; nil: not looked at yet
-	picked   bool             // arrays go to some groups only
-	attempt  uint64           // of what is placed in this batch; 0: nothing yet
-	freed    []freedTask      // off machines that are gone
+	c          *Core
+	o          *own
+	mark       string
+	groups     []*groupDraft
+	drafts     []*draft // of all groups, those that can take tasks now
+	ops        int      // operations that are still free
+	size       int      // bytes that are still free
+	finals     []state.Op
+	guards     []state.Guard
+	cleared    map[*shelf]map[string]bool // jobs that leave their shelves
+	packs      *packing
+	using      map[string]*usage
+	saved      []savedRuns
+	busy       map[int]bool     // partitions with waiting tasks of their own
+	failed     map[holeKey]bool // what found no room in this batch, even by preemption
+	guaranteed map[*job]bool    // jobs within their teams' guarantees
+	picked     bool             // arrays go to some groups only
+	attempt    uint64           // of what is placed in this batch; 0: nothing yet
+	freed      []freedTask      // off machines that are gone
 }
 
 // freedTask is a task whose machine this batch drops, and where it was.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -149,7 +149,7 @@
 	if was, ok := j.bound[n]; ok && was.attempt > b.attempt {
 		return
 	}
-	j.bound[n], j.live, j.waitAt = b, -1, 0
+	j.bound[n], j.live = b, -1
 	delete(j.noted, n)
 }
 
@@ -399,6 +399,7 @@
 		c.unbind(m)
 		m.doc = *doc
 		m.touch()
+		m.noteEntered(c.now)
 		for _, t := range doc.Tasks {
 			j := c.rep.job(t.Job)
 			j.bind(t.Num, bind{m, t.Attempt})
@@ -431,6 +432,20 @@
 	}
 }
 
+// noteEntered keeps when each task of the machine's entry was first seen.
+func (m *machine) noteEntered(now units.Micros) {
+	before := m.enteredAt
+	m.enteredAt = make(map[taskKey]units.Micros, len(m.doc.Tasks))
+	for _, t := range m.doc.Tasks {
+		k := keyOf(t)
+		at, ok := before[k]
+		if !ok {
+			at = now
+		}
+		m.enteredAt[k] = at
+	}
+}
+
 // completed notes a task that has completed, and how long it ran if that is
 // known.
 func (c *Core) completed(j *job, n int, ran units.Micros) {
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -28,7 +28,7 @@
 				break
 			}
 			d := b.choose(j)
-			lower := func(v *job) bool { return v.spec.Grade < j.spec.Grade }
+			lower := victims{eligible: func(v *job) bool { return v.spec.Grade < j.spec.Grade }}
 			if d != nil && !d.has(j.spec.Image) && c.fetchTooSlow(j, d.m) && c.preempt(b, j, n, true, lower) {
 				continue
 			}
@@ -50,12 +50,12 @@
 	grade           int
 	spot, apart     bool
 	team            string
-	recall          bool // within a guarantee, from teams beyond theirs
+	recall          units.Micros // within a guarantee, from teams beyond theirs: what may be lost; 0: no recall
 }
 
 func holeOf(j *job) holeKey {
 	s := &j.spec
-	k := holeKey{s.CPUs, s.GPUs, s.MemGB, s.Zone, strings.Join(s.Types, ","), s.Grade, s.Spot, s.Spread || s.OneZone, s.Team, false}
+	k := holeKey{s.CPUs, s.GPUs, s.MemGB, s.Zone, strings.Join(s.Types, ","), s.Grade, s.Spot, s.Spread || s.OneZone, s.Team, 0}
 	if k.apart {
 		k.team = s.Team + "/" + j.id // depends on where its other tasks are
 	}
@@ -79,10 +79,10 @@
 // preempt puts task n of j in the place of others: it enters it on the machine
 // where least is lost, together with the stops that make room for it, so that
 // nobody else takes that room. With needImage only machines that have its image
-// count. Victims must be eligible. It reports whether a place was found.
-func (c *Core) preempt(b *batch, j *job, n int, needImage bool, eligible func(*job) bool) bool {
+// count. It reports whether a place was found.
+func (c *Core) preempt(b *batch, j *job, n int, needImage bool, from victims) bool {
 	var best *draft
-	var victims []taskKey
+	var stops []taskKey
 	bestLoss := math.Inf(1)
 	for _, d := range b.drafts {
 		if !c.allowed(j, d.m) || d.gd.bytes < taskBytes || !b.room(d.gd) || needImage && !d.has(j.spec.Image) {
@@ -92,7 +92,7 @@
 		loss := 0.0
 		var vs []taskKey
 		for try := g; !try.take(&j.spec); try = g {
-			k, cost, ok := c.cheapest(d, eligible, vs)
+			k, cost, ok := c.cheapest(d, from, vs)
 			if !ok {
 				loss = math.Inf(1)
 				break
@@ -115,13 +115,13 @@
 			loss += 30
 		}
 		if loss < bestLoss {
-			best, bestLoss, victims = d, loss, vs
+			best, bestLoss, stops = d, loss, vs
 		}
 	}
 	if best == nil {
 		return false
 	}
-	for _, k := range victims {
+	for _, k := range stops {
 		best.stop(k, state.StopNow)
 		best.gap.fill(&c.rep.jobs[k.job].spec, -1)
 		c.log.Info("preempt", "task", k.task(), "machine", best.m.name, "for", j.id, "partition", b.o.n)
@@ -130,12 +130,18 @@
 	return true
 }
 
+// victims says which tasks may be stopped to make room.
+type victims struct {
+	eligible func(*job) bool
+	maxLoss  units.Micros // the most that may be lost with one of them; 0: any
+}
+
 // gradeCost keeps the grades apart when losses, in seconds, are compared: the lower grade
 // is stopped first, whatever it loses.
 const gradeCost = 1000
 
 // cheapest finds the eligible task on d that loses least when it is stopped.
-func (c *Core) cheapest(d *draft, eligible func(*job) bool, not []taskKey) (taskKey, float64, bool) {
+func (c *Core) cheapest(d *draft, from victims, not []taskKey) (taskKey, float64, bool) {
 	var best taskKey
 	bestCost, found := 0.0, false
 next:
@@ -147,17 +153,12 @@
 			}
 		}
 		j := c.rep.jobs[t.Job]
-		if j == nil || !j.known || !c.wanted(t) || d.stops[k] > 0 || !eligible(j) {
+		if j == nil || !j.known || !c.wanted(t) || d.stops[k] > 0 || !from.eligible(j) {
 			continue
 		}
-		cost := 0.0
-		if d.m.rt == nil {
-			cost = 20 // what it has done is known to its owner only
-		} else if run, ok := d.m.rt.runs[k]; ok {
-			cost = (c.now - run.at).Seconds()
-			if j.spec.CkptS > 0 {
-				cost = min(cost, j.spec.CkptS)
-			}
+		cost := c.lossOf(d.m, j, k)
+		if from.maxLoss > 0 && cost > from.maxLoss.Seconds() {
+			continue
 		}
 		cost += float64(j.spec.Grade) * gradeCost
 		// By CPUs, so that one large task is not stopped where a few small ones that have
@@ -170,6 +171,25 @@
 	return best, bestCost, found
 }
 
+// lossOf is how many seconds of work are lost when a task is stopped. What a task on another
+// controller's machine has done is known to that one only; it is no more than the time since
+// it was entered there.
+func (c *Core) lossOf(m *machine, j *job, k taskKey) float64 {
+	var began units.Micros
+	if m.rt == nil {
+		began = m.enteredAt[k]
+	} else if run, ok := m.rt.runs[k]; ok {
+		began = run.at
+	} else {
+		return 0
+	}
+	loss := (c.now - began).Seconds()
+	if j.spec.CkptS > 0 {
+		loss = min(loss, j.spec.CkptS)
+	}
+	return loss
+}
+
 // evacuate saves what can be saved on machines that the cloud is about to take
 // back: services leave at once, tasks with checkpoints as late as they can.
 // Others run on, since they may complete in time.
