Machines stand in as few documents as the limits allow; the store keeps its layout

Cause: a group of four machines was written every 2 to 5 s, while shading tasks end after 8 s, so a tenth of the CPUs was free beside waiting tasks. The first controller writes how many groups and shelves there are, so that controllers with other limits find the same documents (TestLayout). Two rental calls a second, however few are allowed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -163,6 +163,18 @@
 // ErrNoTeam says that a team is not in the settings.
 var ErrNoTeam = errors.New("unknown team")
 
+// MostCPUs is how many CPUs all teams together may use at once; 0: that is not limited.
+func (s *Settings) MostCPUs() float64 {
+	sum := 0.0
+	for _, t := range s.Teams {
+		if t.CPUsMax <= 0 {
+			return 0
+		}
+		sum += t.CPUsMax
+	}
+	return sum
+}
+
 // Lease is the workers' lease.
 func (s *Settings) Lease() units.Micros { return units.FromSeconds(s.Workers.LeaseS) }
 
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -423,8 +423,8 @@
 		return // machines that are up and have not reported yet are seen in the list only
 	}
 	want := c.unmet(short)
-	rounds := max(1, int(c.cfg.Settings.Cloud.RPS/2))
-	for calls := rounds; calls > 0 && len(k.hires) < mostHires; calls-- {
+	permitted := int(c.cfg.Settings.Cloud.RPS / 2)
+	for calls := max(leastHireCalls, permitted); calls > 0 && len(k.hires) < mostHires; calls-- {
 		var h *provision.Hire
 		need := &want.fixed
 		if want.fixed > 0 {
@@ -441,7 +441,7 @@
 		lack := int(math.Ceil(*need / cpus))
 		// Where few calls are allowed each asks for more: four machines a second took
 		// most of a minute to rent a fleet that was wanted at once.
-		h.Count = min(lack, mostHired, max(c.pol.HireMost, len(c.rep.machines)/hirePart, lack/(hireRounds*rounds)))
+		h.Count = min(lack, mostHired, max(c.pol.HireMost, len(c.rep.machines)/hirePart, lack/(hireRounds*max(1, permitted))))
 		k.hireN++
 		h.Name = "r-" + c.inc + "-" + strconv.Itoa(k.hireN)
 		c.log.Info("hire", "request", h.Name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "unmet_cpus", *need)
@@ -452,10 +452,11 @@
 }
 
 const (
-	mostHired  = 50 // machines that one request may ask for
-	hirePart   = 8  // a request asks for at most this part of the fleet, so that one price or one zone does not take all
-	hireRounds = 4  // and, when that is more, at most this part of what is lacking in one second
-	mostHires  = 40 // requests not yet answered, or whose machines are not yet up
+	leastHireCalls = 2  // rental requests a second, however few calls are allowed: that many are, for a while
+	mostHired      = 50 // machines that one request may ask for
+	hirePart       = 8  // a request asks for at most this part of the fleet, so that one price or one zone does not take all
+	hireRounds     = 4  // and, when that is more, at most this part of what is lacking in one second
+	mostHires      = 40 // requests not yet answered, or whose machines are not yet up
 )
 
 // bestOffer is the cheapest room for the jobs that wait: for those that may use
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -110,7 +110,7 @@
 	if len(c.teamParts) == 0 {
 		c.teamParts = []int{0}
 	}
-	c.rep = newReplica(state.Spread(cfg.Settings.State.ValueKB), state.ShelfSpread(cfg.Settings.State.ValueKB), func(g int) int { return c.teamParts[g%len(c.teamParts)] })
+	c.rep = newReplica(state.LayoutFor(cfg.Settings.State.ValueKB, cfg.Settings.MostCPUs()), func(g int) int { return c.teamParts[g%len(c.teamParts)] })
 	return c
 }
 
--- /dev/null
+++ b/internal/core/layout_test.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"frostdock.example/frostdock/internal/config"
+	"frostdock.example/frostdock/internal/policy"
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// TestLayout starts controllers on stores that were laid out before. A controller with
+// other settings must go by the store's layout: it would look for machines in the wrong
+// documents, and start their tasks once more.
+func TestLayout(t *testing.T) {
+	const valueKB = 8
+	limited, open := []config.Team{{Name: "red", CPUsMax: 1000}}, []config.Team{{Name: "red"}}
+	narrow, wide := state.LayoutFor(valueKB, 1000), state.LayoutFor(valueKB, 0)
+	if narrow == wide {
+		t.Fatal("the limit makes no difference")
+	}
+	for name, tc := range map[string]struct {
+		teams  []config.Team
+		stored *state.Layout
+		groups bool // of a store from before layouts
+		want   state.Layout
+	}{
+		"new store, limited":     {teams: limited, want: narrow},
+		"new store, not limited": {teams: open, want: wide},
+		"limit taken away since": {teams: open, stored: &narrow, want: narrow},
+		"limit set since":        {teams: limited, stored: &wide, want: wide},
+		"store without a layout": {teams: limited, groups: true, want: wide},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := &config.Config{Member: "a"}
+			s := &cfg.Settings
+			s.Size, s.Teams = 1, tc.teams
+			s.State.ValueKB, s.State.TxnOps, s.State.RPS, s.State.WriteRPS = valueKB, 12, 350, 35
+			s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = 6, 31, 56
+			o := &outside{keys: map[string]state.Item{}, asked: map[state.Kind]int{}}
+			if tc.stored != nil {
+				o.put(state.LayoutOf, tc.stored)
+			}
+			if tc.groups {
+				o.put(state.GroupKey(wide.Groups-1), state.Group{Machines: []state.Machine{{Name: "n-000047", Addr: "x"}}})
+			}
+			c := New(cfg, policy.Default(), slog.New(slog.NewTextHandler(io.Discard, nil)), "new")
+			now := units.Second
+			var msgs []Msg
+			for range 100 {
+				now += 25 * units.Millisecond
+				var next []Msg
+				for _, e := range c.Step(now, now, msgs) {
+					next = append(next, o.answer(e)...)
+				}
+				msgs = next
+			}
+			if !c.rep.synced {
+				t.Fatal("not loaded")
+			}
+			if got := (state.Layout{Groups: len(c.rep.groups), Shelves: len(c.rep.shelves)}); got != tc.want {
+				t.Errorf("%+v, want %+v", got, tc.want)
+			}
+			if tc.groups && c.rep.machines["n-000047"] == nil {
+				t.Error("the machine is not found")
+			}
+			if _, ok := o.keys[state.LayoutOf]; !ok {
+				t.Error("the layout is not stored")
+			}
+		})
+	}
+}
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -34,6 +34,9 @@
 	packs    map[string]*pack
 	finals   *finals
 	base     *state.BaseDoc
+
+	defaultPart func(group int) int // the partition of a group that has no document yet
+	laidOut     bool                // the store's own layout is known
 }
 
 type part struct {
@@ -162,18 +165,31 @@
 
 func (j *job) isDone(n int) bool { return j.extra[n] || j.done.Has(n) }
 
-func newReplica(spread, shelves int, defaultPart func(group int) int) *replica {
+func newReplica(layout state.Layout, defaultPart func(group int) int) *replica {
 	r := &replica{
 		stamps: map[string]uint64{}, tombs: map[string]uint64{}, nodes: map[string]units.Micros{},
 		parts: map[int]*part{}, machines: map[string]*machine{}, jobs: map[string]*job{}, packs: map[string]*pack{}, ever: map[string]bool{}, finals: newFinals(40000),
+		defaultPart: defaultPart,
 	}
-	for n := range spread {
-		r.groups = append(r.groups, &group{n: n, key: state.GroupKey(n), part: defaultPart(n)})
+	r.layOut(layout)
+	return r
+}
+
+// layOut spreads machines and jobs over so many documents. Documents that are known
+// already stay.
+func (r *replica) layOut(layout state.Layout) {
+	for n := len(r.groups); n < layout.Groups; n++ {
+		r.groups = append(r.groups, &group{n: n, key: state.GroupKey(n), part: r.defaultPart(n)})
 	}
-	for n := range shelves {
+	for n := len(r.shelves); n < layout.Shelves; n++ {
 		r.shelves = append(r.shelves, &shelf{key: state.ShelfKey(n)})
 	}
-	return r
+	r.groups, r.shelves = r.groups[:layout.Groups], r.shelves[:layout.Shelves]
+	for key := range r.stamps { // what was read by another layout is to be read again
+		if strings.HasPrefix(key, state.Groups) || strings.HasPrefix(key, state.Shelves) {
+			delete(r.stamps, key)
+		}
+	}
 }
 
 func (r *replica) groupOf(machine string) *group {
@@ -250,6 +266,12 @@
 		}
 	case strings.HasPrefix(key, state.Progress):
 		c.applyPack(key, val)
+	case key == state.LayoutOf:
+		var doc state.Layout
+		if !deleted && !r.laidOut && c.decode(key, val, &doc) && doc.Groups > 0 && doc.Shelves > 0 {
+			r.layOut(doc)
+			r.laidOut = true
+		}
 	case key == state.Base:
 		var doc state.BaseDoc
 		if !deleted && c.decode(key, val, &doc) {
@@ -517,15 +539,50 @@
 					c.apply(key, nil, base, true)
 				}
 			}
-			c.rep.watchRev = base
-			c.rep.synced = true
-			c.log.Info("replica loaded", "rev", base, "jobs", len(c.rep.jobs), "machines", len(c.rep.machines))
-			c.watch()
+			if !c.rep.laidOut {
+				c.writeLayout(base)
+				return
+			}
+			c.loaded(base)
 		})
 	}
 	page("")
 }
 
+// loaded begins to follow the store from the revision as of which the copy is complete.
+func (c *Core) loaded(rev uint64) {
+	c.rep.watchRev = rev
+	c.rep.synced = true
+	c.log.Info("replica loaded", "rev", rev, "jobs", len(c.rep.jobs), "machines", len(c.rep.machines))
+	c.watch()
+}
+
+// writeLayout settles the layout of a store that has none. If another was first, or the
+// copy was loaded by another layout, it is loaded anew.
+func (c *Core) writeLayout(rev uint64) {
+	settings := &c.cfg.Settings
+	layout := state.LayoutFor(settings.State.ValueKB, settings.MostCPUs())
+	for key := range c.rep.stamps {
+		if strings.HasPrefix(key, state.Groups) {
+			layout = state.LayoutBefore(settings.State.ValueKB)
+		}
+	}
+	c.log.Info("lay out the store", "groups", layout.Groups, "shelves", layout.Shelves)
+	txn := &state.Txn{
+		Guards: []state.Guard{{Key: state.LayoutOf}},
+		Apply:  []state.Op{{Set: state.LayoutOf, Value: encode(layout)}},
+	}
+	asLoaded := layout == state.Layout{Groups: len(c.rep.groups), Shelves: len(c.rep.shelves)}
+	c.callState(state.Request{Kind: state.Commit, Txn: txn}, func(r state.Response) {
+		if r.Status != 200 || !asLoaded {
+			c.after(100*units.Millisecond, c.load)
+			return
+		}
+		c.apply(state.LayoutOf, txn.Apply[0].Value, r.Rev, false)
+		c.loaded(rev)
+	})
+}
+
 // staleAfter is how long the watch may lag behind what other answers show.
 const staleAfter = units.Second
 
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -6,6 +6,7 @@
 //
 // Layout:
 //
+//	k/a/0             over how many documents machines and jobs are spread, written once
 //	k/a/n/MEMBER/INC  a living process (removed with its lease)
 //	k/a/p/N           partition N: owner and epoch; its stamp guards every write of the owner
 //	k/a/g/N           group N of machines: partition, and for each machine all tasks that may be on it
@@ -30,6 +31,7 @@
 const (
 	Root     = "k/"
 	Active   = "k/a/"
+	LayoutOf = "k/a/0" // before all other keys under Active, so that it is read first
 	Nodes    = "k/a/n/"
 	Parts    = "k/a/p/"
 	Groups   = "k/a/g/"
@@ -40,15 +42,56 @@
 	Finals   = "k/f/"
 )
 
-// Spread is how many documents the machines are spread over. It follows from how
-// large a value may be, so that a thousand machines with eight tasks each fill a
-// third of what there is.
-func Spread(valueKB float64) int { return max(8, min(256, int(384/valueKB))) }
+// Spread is how many documents the machines are spread over. It follows from how large a
+// value may be, so that a thousand machines with eight tasks each fill a third of what
+// there is; and from how many CPUs all teams together may use at once, 0 if that is not
+// limited: where fewer documents hold all that can run, each change tells of more machines,
+// and freed places wait for a shorter time.
+func Spread(valueKB, mostCPUs float64) int {
+	spread := widestSpread(valueKB)
+	if mostCPUs <= 0 {
+		return spread
+	}
+	fill := valueKB * 1024 * 2 / 3
+	for spread/2 >= narrowestSpread && float64(spread/2)*fill >= mostCPUs*bytesPerCPU {
+		spread /= 2
+	}
+	return spread
+}
+
+const (
+	// narrowestSpread keeps the controllers from meeting at the same documents all the time.
+	narrowestSpread = 12
+	// bytesPerCPU is what a CPU in use costs in a group, not deflated: tasks of two CPUs and
+	// 16 bytes, and machines of 16 CPUs and 48 bytes.
+	bytesPerCPU = 11
+)
+
+func widestSpread(valueKB float64) int { return max(8, min(256, int(384/valueKB))) }
 
 // ShelfSpread is how many documents the jobs are spread over: few, so that one change
 // accepts as many as it can while submissions come at once, but enough that the
 // controllers seldom meet at one.
-func ShelfSpread(valueKB float64) int { return max(24, Spread(valueKB)/2) }
+func ShelfSpread(valueKB float64) int { return max(24, widestSpread(valueKB)/2) }
+
+// Layout says over how many documents machines and jobs are spread. The first controller
+// of a new store writes it, and it stays: the settings that it follows from may change while
+// the documents are there, and two controllers that count differently would not find each
+// other's machines.
+type Layout struct {
+	Groups  int `json:"g"`
+	Shelves int `json:"j"`
+}
+
+// LayoutFor is the layout of a new store.
+func LayoutFor(valueKB, mostCPUs float64) Layout {
+	return Layout{Groups: Spread(valueKB, mostCPUs), Shelves: ShelfSpread(valueKB)}
+}
+
+// LayoutBefore is the layout of a store that was written before layouts were.
+func LayoutBefore(valueKB float64) Layout {
+	return Layout{Groups: widestSpread(valueKB), Shelves: ShelfSpread(valueKB)}
+}
 
 // GroupOf is the group that a machine stands in. Names are numbered in order of
 // creation, so machines of one type, rented together, end up in many groups.
--- a/internal/state/docs_test.go
+++ b/internal/state/docs_test.go
@@ -65,9 +65,16 @@
 
 // TestSpread shows that documents of machines hold what a thousand machines run.
 func TestSpread(t *testing.T) {
-	for kb, want := range map[float64]int{1: 256, 4: 96, 16: 24, 1000: 8} {
-		if got := Spread(kb); got != want {
-			t.Errorf("%v KB: %d documents, want %d", kb, got, want)
+	for _, tc := range []struct {
+		kb, cpus float64
+		want     int
+	}{
+		{1, 0, 256}, {4, 0, 96}, {16, 0, 24}, {1000, 0, 8},
+		{8, 4800, 12}, {8, 5200, 12}, {8, 7200, 24}, {8, 1e6, 48}, // a fleet that the teams' limits bound
+		{16, 1376, 12}, {16, 75000, 24}, {1000, 100, 8},
+	} {
+		if got := Spread(tc.kb, tc.cpus); got != tc.want {
+			t.Errorf("%v KB, %v CPUs: %d documents, want %d", tc.kb, tc.cpus, got, tc.want)
 		}
 	}
 	in := map[int]int{}
