A launch in a held-up answer to a report leaves its machine unsettled

Cause: absence from a direct answer was taken as proof that a task is not on its machine, while an answer to a report with the order to launch it was still on its way, for up to 4 s. The task was stopped, released and started on another machine: ran_twice.

--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -316,6 +316,9 @@
 	if own && c.now <= rt.leaseEnd {
 		v.until = min(v.until, rt.leaseEnd+1)
 	}
+	if own && c.now <= rt.launchOver() {
+		v.until = min(v.until, rt.launchOver()+1)
+	}
 	for _, task := range m.doc.Tasks {
 		j := c.rep.jobs[task.Job]
 		over := j == nil || !j.known || j.done.Has(task.Num)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -57,6 +57,8 @@
 	since    units.Micros
 	leaseEnd units.Micros // when its session is over for certain if it stays silent
 
+	launchAt units.Micros // when a report was last answered with a launch, and no later report has come; 0: none
+
 	out     int    // direct commands without an answer yet
 	unclear bool   // a direct command got no answer: it may be carried out late
 	unTok   uint64 // under this token
@@ -118,11 +120,27 @@
 }
 
 // settled reports whether no command that could still surprise is under way:
-// the machine has seen the current token, and no direct command is unanswered.
-// Only then does absence from a report prove that a task is not there.
+// the machine has seen the current token, no direct command is unanswered, and no launch
+// is on its way in the answer to a report. Only then does absence from a report prove that
+// a task is not there.
 func (c *Core) settled(m *machine) bool {
 	rt := m.rt
-	return rt.heardAt > 0 && rt.seen == c.token(m) && rt.out == 0 && !rt.unclear
+	return rt.heardAt > 0 && rt.seen == c.token(m) && rt.out == 0 && !rt.unclear && c.now > rt.launchOver()
+}
+
+// answerLife is how long after it was given a worker may still act on the answer to a
+// report, with some time for the drift of the clocks.
+const answerLife = 4*units.Second + 50*units.Millisecond
+
+// launchOver is until when a launch that was given in the answer to a report may arrive. A
+// worker sends its next report only when it has that answer, or waits for it no more. A task
+// whose launch was held up on its way was once taken to be free, since the machine's direct
+// answers did not show it, and ran on two machines.
+func (rt *runtime) launchOver() units.Micros {
+	if rt.launchAt == 0 {
+		return 0
+	}
+	return rt.launchAt + answerLife
 }
 
 // report answers a worker.
@@ -164,11 +182,16 @@
 			m.rt.steady = c.now
 		}
 		m.rt.answered = c.now
+		m.rt.launchAt = 0
 	}
 	c.observe(m, r)
 	l := c.cfg.Settings.Lease()
 	m.rt.leaseEnd = max(m.rt.leaseEnd, c.now+l+leaseMargin(l))
-	c.reply(q.To, 200, workers.Answer{Token: tok, Orders: c.orders(m)})
+	orders := c.orders(m)
+	if slices.ContainsFunc(orders, func(o workers.Order) bool { return o.Op == workers.Launch }) {
+		m.rt.launchAt = c.now
+	}
+	c.reply(q.To, 200, workers.Answer{Token: tok, Orders: orders})
 }
 
 // steady reports whether the machine's reports have come, and been answered, for so
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -271,6 +271,9 @@
 	case "cut":
 		mode := a.val("mode", "drop")
 		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: mode == "hold", deaf: mode == "deaf", mute: mode == "mute"})
+	case "slow_answers":
+		w.slowAnswers = a.dur("by", 3)
+		w.after(length, func() { w.slowAnswers = 0 })
 	case "late_writes":
 		w.store.late = a.num("share", 0.3)
 		w.after(length, func() { w.store.late = 0 })
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -59,6 +59,8 @@
 	flaky float64 // chance that an answer is lost, or a request is carried out late
 	lag   units.Micros
 
+	slowAnswers units.Micros // the most that an answer to a report is held up on its way
+
 	copies float64 // chance that a copy of a report comes late, to any controller
 }
 
@@ -212,7 +214,7 @@
 			if w.blocked(to, from, true) != nil || w.rng.Float64() < w.flaky {
 				return
 			}
-			w.after(w.jitter(), func() { finish(v, true) })
+			w.after(w.jitter()+w.heldUp(from), func() { finish(v, true) })
 		})
 	}
 	if w.rng.Float64() < w.flaky/2 {
@@ -222,6 +224,14 @@
 	w.after(w.jitter(), deliver)
 }
 
+// heldUp is how much longer an answer to that host takes than usual.
+func (w *World) heldUp(host string) units.Micros {
+	if w.slowAnswers == 0 || w.workers[host] == nil {
+		return 0
+	}
+	return units.Micros(w.rng.Int64N(int64(w.slowAnswers)))
+}
+
 func (w *World) addNode(cfg *config.Config) {
 	n := &controller{w: w, name: cfg.Member, cfg: cfg, waiting: map[uint64]func(core.Reply){}}
 	w.nodes = append(w.nodes, n)
