Core: files by duty, moves only

reports, commands, faults, room, unreachable, retire, renting, returning, job, load, finals, view and placing leave the files of machines, cloud, replica, arrays and draft.

--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -10,16 +10,6 @@
 	"frostdock.example/frostdock/internal/units"
 )
 
-// average is the job's mean task time as observed, and of how many tasks; zero
-// if nothing is known.
-func (j *job) average() (units.Micros, int) {
-	n := j.avgOf + j.runCount
-	if n == 0 {
-		return 0, 0
-	}
-	return max(minAverage, (j.avg*units.Micros(j.avgOf)+j.runSum)/units.Micros(n)), n
-}
-
 // placeArrays is hSRTF-Pr: jobs in order of remaining time, each up to its
 // share, and what is left over to whoever can use it in the same order.
 func (c *Core) placeArrays(b *batch, jobs []*job) {
@@ -60,14 +50,14 @@
 		if avg == 0 {
 			avg = c.borrowedAverage(j)
 		}
-		cap := 0
+		capacity := 0
 		for i := range c.cloud.types {
 			if t := &c.cloud.types[i]; slice[t.Name] > 0 && intake.Fits(&j.spec, t) {
-				cap += slice[t.Name] * int(t.CPUs/j.spec.CPUs)
+				capacity += slice[t.Name] * int(t.CPUs/j.spec.CPUs)
 			}
 		}
 		list = append(list, placement.Job{
-			ID: j.id, Total: j.spec.Tasks, Unfinished: j.spec.Tasks - j.doneCount(), Capacity: max(cap/len(active), 1), Average: avg,
+			ID: j.id, Total: j.spec.Tasks, Unfinished: j.spec.Tasks - j.doneCount(), Capacity: max(capacity/len(active), 1), Average: avg,
 			Age: units.Micros(max(0, int64(c.wall)-j.spec.At)), PerTask: j.spec.CPUs, Share: j.share,
 			Weight: c.weight(j),
 		})
@@ -294,61 +284,3 @@
 	}
 	return w
 }
-
-func (j *job) doneCount() int {
-	return j.done.Len() + len(j.extra)
-}
-
-// next is the first task from n on that is neither done nor bound, or -1.
-// Tasks are taken in order, so that the ranges of done ones stay few.
-func (j *job) next(n int) int {
-	last := j.spec.Tasks
-	if j.done.Ranges()+len(j.extra) > maxHoles {
-		// What is stored must not become much longer; but filling gaps makes it shorter in
-		// the end, and without that a job with too many of them would never go on.
-		if j.active() >= maxHoles/4 {
-			return -1
-		}
-		last = j.done.End()
-	}
-	// All before the first gap are done: in an array of 100,000 that is most.
-	for n = max(n, j.done.Missing()); n < last; n++ {
-		if _, ok := j.bound[n]; !ok && !j.isDone(n) {
-			return n
-		}
-	}
-	return -1
-}
-
-// observed is a job's average task time: finished tasks, with running ones'
-// elapsed time as a lower bound.
-func (c *Core) observed(j *job) units.Micros {
-	avg, _ := j.average()
-	if avg == 0 {
-		return 0
-	}
-	if j.observedAt > 0 && c.now-j.observedAt < observeEvery {
-		return max(avg, j.observed)
-	}
-	var over, late units.Micros
-	for n, b := range j.bound {
-		if b.m.rt == nil {
-			continue
-		}
-		if run, ok := b.m.rt.runs[taskKey{j.id, n, b.attempt}]; ok && c.now-run.at > avg {
-			over += c.now - run.at - avg
-			late++
-		}
-	}
-	// The late ones count with what they have taken so far, as if they ended now.
-	j.observed, j.observedAt = avg+over/(units.Micros(j.doneCount())+late+1), c.now
-	return j.observed
-}
-
-// observeEvery is how often all running tasks of a job are looked at.
-const observeEvery = 2 * units.Second
-
-// waiting counts the tasks that are neither done nor bound.
-func (j *job) waiting() int {
-	return max(0, j.spec.Tasks-j.doneCount()-j.active())
-}
--- /dev/null
+++ b/internal/core/commands.go
@@ -0,0 +1,177 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/workers"
+)
+
+// wanted reports whether a task in the machine's document should run there.
+func (c *Core) wanted(t state.Task) bool {
+	j := c.rep.jobs[t.Job]
+	return j != nil && j.known && !j.cancelled && t.Stop == 0 && !j.isDone(t.Num)
+}
+
+// releasable reports whether a task in the document is certainly not, or no
+// longer, active on the machine, so that its entry may go.
+func (c *Core) releasable(m *machine, t state.Task) bool {
+	if j := c.rep.jobs[t.Job]; j == nil || !j.known || j.done.Has(t.Num) {
+		return true // its end is stored
+	} else if j.isDone(t.Num) {
+		return false // done, but not yet stored: without the entry it would run again
+	}
+	rt := m.rt
+	k := keyOf(t)
+	if p, ok := rt.pieces[k]; ok && rt.heardAt > 0 {
+		// Only a report under the present token tells of an end that lasts: an older one
+		// may be a late copy, and the attempt was started again in a later session.
+		return p.State == workers.Ended && rt.seen == c.token(m) || c.now > rt.leaseEnd
+	}
+	if c.now > rt.leaseEnd {
+		return true
+	}
+	return !c.wanted(t) && c.settled(m)
+}
+
+// orders compares what should be on the machine with what it reported.
+func (c *Core) orders(m *machine) []workers.Order {
+	rt := m.rt
+	out := []workers.Order{}
+	if rt.heardAt == 0 {
+		return out
+	}
+	// A task may be entered together with the stops that make room for it: it
+	// is launched once that room is free.
+	room := c.freeNow(m)
+	launch := c.mayLaunch()
+	listed := make(map[taskKey]bool, len(m.doc.Tasks))
+	// Whatever is entered may be waiting for room: what ranks higher has it first.
+	grade := func(t state.Task) int {
+		if j := c.rep.jobs[t.Job]; j != nil {
+			return j.spec.Grade
+		}
+		return 0
+	}
+	tasks := slices.Clone(m.doc.Tasks)
+	slices.SortStableFunc(tasks, func(a, b state.Task) int {
+		return cmp.Or(cmp.Compare(grade(b), grade(a)), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	for _, t := range tasks {
+		k := keyOf(t)
+		p, there := rt.pieces[k]
+		if c.wanted(t) {
+			listed[k] = true
+			// One that is being given up must not be launched again meanwhile: the
+			// same write may have put it elsewhere.
+			if !there && !rt.leaving[k] && launch && room.take(&c.rep.jobs[t.Job].spec) {
+				out = append(out, workers.Order{Op: workers.Launch, Task: k.task(), Attempt: t.Attempt})
+			}
+			continue
+		}
+		j := c.rep.jobs[t.Job]
+		if j != nil && j.known && !j.done.Has(t.Num) {
+			listed[k] = true // not to be reaped before its end is stored
+			if there && p.State != workers.Ended {
+				grace := 0.0
+				if t.Stop == state.StopSave {
+					grace = j.spec.SaveS
+				}
+				out = append(out, workers.Order{Op: workers.Kill, Task: k.task(), Attempt: t.Attempt, GraceS: grace})
+			}
+		}
+	}
+	settled := c.settled(m)
+	for _, k := range rt.sorted() {
+		p := rt.pieces[k]
+		if listed[k] {
+			continue
+		}
+		switch {
+		case p.State != workers.Ended:
+			out = append(out, workers.Order{Op: workers.Kill, Task: k.task(), Attempt: k.attempt})
+		case settled:
+			// Once reaped, a late launch would start the attempt anew: reap only
+			// when no such command can be under way.
+			out = append(out, workers.Order{Op: workers.Reap, Task: k.task(), Attempt: k.attempt})
+		}
+	}
+	return out
+}
+
+// poke sends a machine its orders at once, instead of with the next report.
+func (c *Core) poke(m *machine) {
+	rt := m.rt
+	if rt == nil || rt.out > 0 || rt.unclear || !c.usable(m.part()) {
+		return
+	}
+	if rt.session == 0 {
+		c.inspect(m)
+		return
+	}
+	orders := c.orders(m)
+	tok := c.token(m)
+	if len(orders) == 0 && rt.seen == tok {
+		return
+	}
+	if rt.seen > tok {
+		return
+	}
+	rt.out++
+	m.touch()
+	id := c.id()
+	sess := rt.session
+	c.cmdCalls[id] = func(d WorkerDone) {
+		if m.rt != rt {
+			return
+		}
+		rt.out--
+		m.touch()
+		if d.Report != nil && d.Report.Machine == m.name {
+			c.observe(m, d.Report)
+			c.dirty = true
+			return
+		}
+		// No answer: the command may be carried out at any time while token and
+		// session stand. The next write of the document raises the token.
+		rt.unclear, rt.unTok, rt.unSess = true, tok, sess
+		c.dirty = true
+		c.log.Info("direct command unanswered, fencing", "machine", m.name, "token", tok)
+	}
+	c.out = append(c.out, WorkerCall{ID: id, Addr: m.doc.Addr, Cmd: &workers.Command{Token: tok, Session: sess, Orders: orders}})
+}
+
+// inspect asks a machine for its report.
+func (c *Core) inspect(m *machine) {
+	rt := m.rt
+	if rt == nil || rt.probing || m.doc.Addr == "" {
+		return
+	}
+	rt.probing = true
+	session, seq := rt.session, rt.seq
+	id := c.id()
+	c.cmdCalls[id] = func(d WorkerDone) {
+		if m.rt != rt {
+			return
+		}
+		rt.probing = false
+		if d.Report == nil || d.Report.Machine != m.name {
+			rt.probeBad = c.now
+			rt.failed++
+			return
+		}
+		rt.probeBad = 0
+		if !d.Report.Newer(session, seq) && rt.session == session && rt.seq == seq {
+			// An answer to what was asked just now is no late copy: the machine has
+			// begun to count anew, so it was started again and all that it had is
+			// gone. Its reports would be passed over for ever otherwise.
+			c.log.Info("machine started again", "machine", m.name)
+			rt.session, rt.seq, rt.seen = 0, 0, 0
+			rt.runs = map[taskKey]runMark{}
+		}
+		c.observe(m, d.Report)
+		c.poke(m)
+	}
+	c.out = append(c.out, WorkerCall{ID: id, Addr: m.doc.Addr})
+}
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -3,14 +3,11 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 
-	"frostdock.example/frostdock/internal/intake"
 	"frostdock.example/frostdock/internal/state"
 	"frostdock.example/frostdock/internal/units"
-	"frostdock.example/frostdock/internal/workers"
 )
 
 // groupDraft is a group's document in the making.
@@ -193,7 +190,7 @@
 			continue
 		}
 		gd := &groupDraft{c: c, g: g, own: g.part == b.o.n, bytes: c.valueMax() - g.size - headBytes, mark: b.mark, moveTo: -1}
-		any := false
+		usable := false
 		for _, m := range g.members {
 			d := &draft{m: m, gd: gd}
 			gd.drafts = append(gd.drafts, d)
@@ -209,7 +206,7 @@
 			default:
 				d.images, d.usable = c.foreignOpen(m)
 			}
-			any = any || d.usable
+			usable = usable || d.usable
 			if !gd.own && !d.usable {
 				d.keep = m.doc.Tasks
 				continue
@@ -217,7 +214,7 @@
 			d.gap = gap{t.CPUs, t.GPUs, t.MemGB}
 			b.fill(d)
 		}
-		if !gd.own && !any {
+		if !gd.own && !usable {
 			continue
 		}
 		b.groups = append(b.groups, gd)
@@ -271,31 +268,6 @@
 	}
 }
 
-// view is what a machine's entry and its reports say about its room. Looking at
-// every task of every machine for each plan was half of all the work of a large
-// fleet, so it is kept until something that it depends on has changed.
-type view struct {
-	until units.Micros // it may have changed by then; 0: nothing is kept
-	keep  []state.Task // entries that must stay
-	live  int          // tasks that may be active
-	used  gap
-	soon  gap // room of array tasks that are about to end
-}
-
-// viewAge bounds how long a view is kept, whatever may have been overlooked.
-const viewAge = 5 * units.Second
-
-// touch drops what is kept of a machine: its entry, its reports or one of its
-// jobs has changed.
-func (m *machine) touch() { m.views = [2]view{} }
-
-// touch drops what is kept of the machines on which the job may run.
-func (j *job) touch() {
-	for _, b := range j.bound {
-		b.m.touch()
-	}
-}
-
 // fill takes from a draft's room what may be on the machine.
 func (b *batch) fill(d *draft) {
 	v := &d.m.views[0]
@@ -309,85 +281,6 @@
 	d.gap = gap{d.gap.cpus - v.used.cpus, d.gap.gpus - v.used.gpus, d.gap.mem - v.used.mem}
 }
 
-// survey makes a machine's view, as its commander or as somebody else.
-func (c *Core) survey(m *machine, own bool) view {
-	rt := m.rt
-	v := view{until: c.now + viewAge}
-	if own && c.now <= rt.leaseEnd {
-		v.until = min(v.until, rt.leaseEnd+1)
-	}
-	if own && c.now <= rt.launchOver() {
-		v.until = min(v.until, rt.launchOver()+1)
-	}
-	for _, task := range m.doc.Tasks {
-		j := c.rep.jobs[task.Job]
-		over := j == nil || !j.known || j.done.Has(task.Num)
-		active := !over && task.Ran == 0 // its commander has seen its end: the room is free
-		if own {
-			k := keyOf(task)
-			rel := c.releasable(m, task)
-			piece, there := rt.pieces[k]
-			running := there && piece.State != workers.Ended && c.now <= rt.leaseEnd
-			if rel && !running {
-				continue
-			}
-			over = rel
-			active = j != nil && (running || !j.isDone(task.Num))
-		}
-		if !over || !own {
-			v.keep = append(v.keep, task)
-		}
-		if !active {
-			continue
-		}
-		v.live++
-		v.used.fill(&j.spec, -1)
-		if own {
-			if at := c.endsAt(m, j, task); at <= c.now {
-				v.soon.fill(&j.spec, -1)
-			} else {
-				v.until = min(v.until, at)
-			}
-		}
-	}
-	if !own {
-		return v
-	}
-	for k, piece := range rt.pieces { // tasks that nobody lists take room until they are gone
-		if piece.State != workers.Ended && !m.lists(k) {
-			if j := c.rep.jobs[k.job]; j != nil && j.known {
-				v.used.fill(&j.spec, -1)
-			}
-			v.live++
-		}
-	}
-	return v
-}
-
-// queueAhead is how long before its expected end a task's room may be given to
-// the next one.
-const queueAhead = 6 * units.Second
-
-// endsAt is when an array task that runs on m comes so close to its end, by what
-// has been observed of its job, that its room may be given to the next one.
-func (c *Core) endsAt(m *machine, j *job, t state.Task) units.Micros {
-	run, ok := m.rt.runs[keyOf(t)]
-	avg, _ := j.average()
-	if !ok || j.spec.Service || avg == 0 {
-		return math.MaxInt64
-	}
-	return run.at + avg - queueAhead
-}
-
-func (m *machine) lists(k taskKey) bool {
-	for _, t := range m.doc.Tasks {
-		if keyOf(t) == k {
-			return true
-		}
-	}
-	return false
-}
-
 // room reports whether another changed group still fits into the batch.
 func (b *batch) room(gd *groupDraft) bool {
 	return gd.changed || b.ops > 0 && b.size > gd.g.size+headBytes
@@ -401,107 +294,6 @@
 	}
 }
 
-// allowed checks type, kind and zone, given where the job's other tasks may
-// be; those in doubt count as well.
-func (c *Core) allowed(j *job, m *machine) bool {
-	s := &j.spec
-	if !intake.TypeAllowed(s, m.doc.Type) || m.doc.Spot && !s.Spot || s.Zone != "" && s.Zone != m.doc.Zone {
-		return false
-	}
-	return !s.OneZone && !s.Spread || zoneAllowed(j, m.doc.Zone)
-}
-
-// zoneAllowed reports whether one more task of j may be in the zone.
-func zoneAllowed(j *job, zone string) bool {
-	same := 0
-	for n, o := range j.bound {
-		if j.stored(n) {
-			continue
-		}
-		if o.m.doc.Zone == zone {
-			same++
-		} else if j.spec.OneZone {
-			return false
-		}
-	}
-	return !j.spec.Spread || same+1 <= (j.spec.Tasks+1)/2
-}
-
-func (d *draft) fits(j *job) bool {
-	return d.holds(&j.spec) && d.gd.bytes >= taskBytes
-}
-
-// choose finds the best machine for a task of j: one that has the image, and
-// of those the fullest, so that large gaps stay whole.
-func (b *batch) choose(j *job) *draft {
-	c := b.c
-	var best *draft
-	bestScore := math.Inf(-1)
-	presses, passed := c.presses(j), c.passedOver(j)
-	for _, d := range b.drafts {
-		if !d.fits(j) || !b.room(d.gd) || !c.allowed(j, d.m) {
-			continue
-		}
-		if !j.spec.Service && !presses && (b.picked && !passed && !d.gd.picked && !d.gd.changed || b.spoken(d.gd)) {
-			continue // not among those of this batch, or its own jobs wait for that room
-		}
-		if held := b.o.held[d.m.name].job; held != "" && held != j.id && !j.spec.Service && !presses {
-			continue
-		}
-		score := -d.cpus
-		if d.has(j.spec.Image) && j.spec.Service {
-			score += 1000
-		} else if d.has(j.spec.Image) {
-			score += 120
-		}
-		if d.gd.own {
-			score += 70
-		}
-		// What lasts goes on machines that stay, so that rented ones fall idle
-		// and can be given back; what ends soon leaves the others free.
-		switch {
-		case j.spec.Service && !c.rented(d.m.name):
-			score += 300
-		case !j.spec.Service && d.m.doc.Spot && j.spec.CkptS > 0:
-			score += 300 // it loses little when the machine is taken back
-		case !j.spec.Service && d.m.doc.Spot:
-			score += 100
-		case !j.spec.Service && c.rented(d.m.name):
-			score += 150
-		}
-		if d.gd.changed {
-			score += 50
-		}
-		if score > bestScore {
-			best, bestScore = d, score
-		}
-	}
-	return best
-}
-
-// put binds task n of j to d in this batch.
-func (b *batch) put(d *draft, j *job, n int) {
-	b.touch(d.gd)
-	// Attempts only grow: the epoch does with every take-over, the count within
-	// one. All tasks of a batch share theirs, so that neighbours are written as
-	// one range; an attempt must differ only from others of the same task.
-	if b.attempt == 0 {
-		b.o.seq++
-		b.attempt = b.o.epoch<<28 | b.o.seq
-	}
-	t := state.Task{Job: j.id, Num: n, Attempt: b.attempt}
-	d.added = append(d.added, t)
-	d.gap.fill(&j.spec, 1)
-	d.gd.bytes -= taskBytes
-	d.live++
-	b.size -= taskBytes
-	addUse(b.using, &j.spec, 1)
-	j.bind(n, bind{d.m, t.Attempt}) // taken back if the batch is not stored
-	// Only here: an entry that is read once more, because something else on its machine has
-	// changed, is no new place, and a job beside it waited for minutes.
-	j.waitAt = 0
-}
-
 // dropGone drops machines whose deletion the cloud has confirmed, and frees the
 // tasks of this partition's jobs that were there, so that the same change that
 // drops them can start them on other machines of the group. With a change for each
--- /dev/null
+++ b/internal/core/load.go
@@ -0,0 +1,153 @@
+package core
+
+import (
+	"strings"
+
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// load reads everything under state.Active, then watches. It is the way in at
+// the start and whenever the watch has lost its place (410).
+func (c *Core) load() {
+	c.rep.synced = false
+	c.rep.watchN++
+	seen := map[string]bool{}
+	var base uint64
+	var page func(since string)
+	page = func(since string) {
+		c.callState(state.Request{Kind: state.List, Key: state.Active, Since: since}, func(resp state.Response) {
+			if resp.Status != 200 {
+				c.after(300*units.Millisecond, func() { page(since) })
+				return
+			}
+			if base == 0 {
+				base = resp.Rev
+			}
+			for _, it := range resp.Items {
+				seen[it.Key] = true
+				c.apply(it.Key, it.Value, it.Stamp, false)
+			}
+			if resp.Truncated && len(resp.Items) > 0 {
+				page(resp.Items[len(resp.Items)-1].Key)
+				return
+			}
+			// What the list no longer has, and was not written since, is gone.
+			for key, stamp := range c.rep.stamps {
+				if !seen[key] && stamp <= base {
+					c.apply(key, nil, base, true)
+				}
+			}
+			if !c.rep.laidOut {
+				c.writeLayout(base)
+				return
+			}
+			c.loaded(base)
+		})
+	}
+	page("")
+}
+
+// loaded begins to follow the store from the revision as of which the copy is complete.
+func (c *Core) loaded(rev uint64) {
+	c.rep.watchRev = rev
+	c.rep.synced = true
+	c.log.Info("replica loaded", "rev", rev, "jobs", len(c.rep.jobs), "machines", len(c.rep.machines))
+	c.watch()
+}
+
+// writeLayout settles the layout of a store that has none. If another was first, or the
+// copy was loaded by another layout, it is loaded anew.
+func (c *Core) writeLayout(rev uint64) {
+	settings := &c.cfg.Settings
+	layout := state.LayoutFor(settings.State.ValueKB, settings.MostCPUs())
+	for key := range c.rep.stamps {
+		if strings.HasPrefix(key, state.Groups) {
+			layout = state.LayoutBefore(settings.State.ValueKB)
+		}
+	}
+	c.log.Info("lay out the store", "groups", layout.Groups, "shelves", layout.Shelves)
+	txn := &state.Txn{
+		Guards: []state.Guard{{Key: state.LayoutOf}},
+		Apply:  []state.Op{{Set: state.LayoutOf, Value: encode(layout)}},
+	}
+	asLoaded := layout == state.Layout{Groups: len(c.rep.groups), Shelves: len(c.rep.shelves)}
+	c.callState(state.Request{Kind: state.Commit, Txn: txn}, func(r state.Response) {
+		if r.Status != 200 || !asLoaded {
+			c.after(100*units.Millisecond, c.load)
+			return
+		}
+		c.apply(state.LayoutOf, txn.Apply[0].Value, r.Rev, false)
+		c.loaded(rev)
+	})
+}
+
+// staleAfter is how long the watch may lag behind what other answers show.
+const staleAfter = units.Second
+
+// checkWatch opens a new watch when the present one has fallen behind: after a
+// cut its connection may be dead without an error, and when this node alone
+// was refused it waits as in an outage.
+func (c *Core) checkWatch() {
+	r := c.rep
+	if !r.synced || r.seenRev <= r.watchRev {
+		r.behind = 0
+		return
+	}
+	if r.behind == 0 {
+		r.behind = c.now
+	}
+	if c.now-r.behind > staleAfter {
+		r.behind = c.now + staleAfter // give the new one time before the next
+		c.log.Info("watch is behind, opening a new one", "rev", r.watchRev, "seen", r.seenRev)
+		c.watch()
+	}
+}
+
+func (c *Core) watch() {
+	c.rep.watchN++
+	n := c.rep.watchN
+	opened := c.now
+	c.callState(state.Request{Kind: state.Watch, Key: state.Root, Rev: c.rep.watchRev, HoldMs: 10000}, func(resp state.Response) {
+		if n != c.rep.watchN {
+			return
+		}
+		switch {
+		case resp.Status == 200:
+			for _, e := range resp.News {
+				if e.Set != "" {
+					c.apply(e.Set, e.Value, e.Stamp, false)
+				} else {
+					c.apply(e.Delete, nil, e.Stamp, true)
+				}
+			}
+			if resp.Rev > c.rep.watchRev {
+				c.rep.watchRev = resp.Rev
+			}
+			for k, rev := range c.rep.tombs {
+				if rev <= c.rep.watchRev {
+					delete(c.rep.tombs, k)
+				}
+			}
+			c.caughtUp()
+			if len(resp.News) == 0 && resp.Rev < c.rep.seenRev {
+				c.after(100*units.Millisecond, func() { c.rewatch(n) }) // refused: it tells nothing
+				return
+			}
+			// While much changes, one answer should tell several changes.
+			c.after(max(0, opened+c.pace(0.4)-c.now), func() { c.rewatch(n) })
+		case resp.Status == 410:
+			c.log.Warn("watch lost its place, loading anew")
+			c.load()
+		default:
+			c.after(200*units.Millisecond, func() { c.rewatch(n) })
+		}
+	})
+}
+
+// rewatch goes on after watch n unless another has been opened.
+func (c *Core) rewatch(n int) {
+	if n == c.rep.watchN && c.rep.synced {
+		c.watch()
+	}
+}
--- /dev/null
+++ b/internal/core/placing.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"math"
+
+	"frostdock.example/frostdock/internal/intake"
+	"frostdock.example/frostdock/internal/state"
+)
+
+// allowed checks type, kind and zone, given where the job's other tasks may
+// be; those in doubt count as well.
+func (c *Core) allowed(j *job, m *machine) bool {
+	s := &j.spec
+	if !intake.TypeAllowed(s, m.doc.Type) || m.doc.Spot && !s.Spot || s.Zone != "" && s.Zone != m.doc.Zone {
+		return false
+	}
+	return !s.OneZone && !s.Spread || zoneAllowed(j, m.doc.Zone)
+}
+
+// zoneAllowed reports whether one more task of j may be in the zone.
+func zoneAllowed(j *job, zone string) bool {
+	same := 0
+	for n, o := range j.bound {
+		if j.stored(n) {
+			continue
+		}
+		if o.m.doc.Zone == zone {
+			same++
+		} else if j.spec.OneZone {
+			return false
+		}
+	}
+	return !j.spec.Spread || same+1 <= (j.spec.Tasks+1)/2
+}
+
+func (d *draft) fits(j *job) bool {
+	return d.holds(&j.spec) && d.gd.bytes >= taskBytes
+}
+
+// choose finds the best machine for a task of j: one that has the image, and
+// of those the fullest, so that large gaps stay whole.
+func (b *batch) choose(j *job) *draft {
+	c := b.c
+	var best *draft
+	bestScore := math.Inf(-1)
+	presses, passed := c.presses(j), c.passedOver(j)
+	for _, d := range b.drafts {
+		if !d.fits(j) || !b.room(d.gd) || !c.allowed(j, d.m) {
+			continue
+		}
+		if !j.spec.Service && !presses && (b.picked && !passed && !d.gd.picked && !d.gd.changed || b.spoken(d.gd)) {
+			continue // not among those of this batch, or its own jobs wait for that room
+		}
+		if held := b.o.held[d.m.name].job; held != "" && held != j.id && !j.spec.Service && !presses {
+			continue
+		}
+		score := -d.cpus
+		if d.has(j.spec.Image) && j.spec.Service {
+			score += 1000
+		} else if d.has(j.spec.Image) {
+			score += 120
+		}
+		if d.gd.own {
+			score += 70
+		}
+		// What lasts goes on machines that stay, so that rented ones fall idle
+		// and can be given back; what ends soon leaves the others free.
+		switch {
+		case j.spec.Service && !c.rented(d.m.name):
+			score += 300
+		case !j.spec.Service && d.m.doc.Spot && j.spec.CkptS > 0:
+			score += 300 // it loses little when the machine is taken back
+		case !j.spec.Service && d.m.doc.Spot:
+			score += 100
+		case !j.spec.Service && c.rented(d.m.name):
+			score += 150
+		}
+		if d.gd.changed {
+			score += 50
+		}
+		if score > bestScore {
+			best, bestScore = d, score
+		}
+	}
+	return best
+}
+
+// put binds task n of j to d in this batch.
+func (b *batch) put(d *draft, j *job, n int) {
+	b.touch(d.gd)
+	// Attempts only grow: the epoch does with every take-over, the count within
+	// one. All tasks of a batch share theirs, so that neighbours are written as
+	// one range; an attempt must differ only from others of the same task.
+	if b.attempt == 0 {
+		b.o.seq++
+		b.attempt = b.o.epoch<<28 | b.o.seq
+	}
+	t := state.Task{Job: j.id, Num: n, Attempt: b.attempt}
+	d.added = append(d.added, t)
+	d.gap.fill(&j.spec, 1)
+	d.gd.bytes -= taskBytes
+	d.live++
+	b.size -= taskBytes
+	addUse(b.using, &j.spec, 1)
+	j.bind(n, bind{d.m, t.Attempt}) // taken back if the batch is not stored
+	// Only here: an entry that is read once more, because something else on its machine has
+	// changed, is no new place, and a job beside it waited for minutes.
+	j.waitAt = 0
+}
--- /dev/null
+++ b/internal/core/unreachable.go
@@ -0,0 +1,265 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"frostdock.example/frostdock/internal/state"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// watchMachines looks after machines that have fallen silent.
+func (c *Core) watchMachines() {
+	if !c.rep.synced {
+		return
+	}
+	report := c.cfg.Settings.Report()
+	total, hearing, reporting := 0, 0, 0
+	zones := map[string]*zoneView{}
+	var silent, taken, deaf, mute []*machine
+	for _, m := range c.sortedMachines() {
+		if m.rt == nil || !c.usable(m.part()) {
+			continue
+		}
+		total++
+		c.recovered(m)
+		if c.mute(m) {
+			mute = append(mute, m)
+		} else {
+			reporting++
+		}
+		z := zones[m.doc.Zone]
+		if z == nil {
+			z = &zoneView{}
+			zones[m.doc.Zone] = z
+		}
+		z.machines = append(z.machines, m)
+		if m.rt.unheard >= deafAfter || m.rt.unheard > 0 && m.rt.failed >= 2 {
+			deaf = append(deaf, m)
+			continue
+		}
+		last := max(m.rt.heardAt, m.rt.since-report) // a new owner asks at once, and need not wait as long
+		overdue := c.now-last > report*13/10
+		if c.now-last < report*3/2 {
+			hearing++
+			z.hearing++
+			if m.rt.seen < c.token(m) && m.rt.heardAt > 0 {
+				c.poke(m) // raise its token, so that absence can prove something
+			}
+		}
+		// The report is overdue, or a command was not answered: ask the machine
+		// itself, and again.
+		// In a zone where many fall silent all are asked, and those that do not answer
+		// once more.
+		asked := m.rt.failed > 0 && c.zones[m.doc.Zone].asked > 0
+		if (overdue || m.rt.unclear || asked) && c.now-m.rt.probeAt > units.Second {
+			m.rt.probeAt = c.now
+			c.inspect(m)
+		}
+		if m.rt.failed > 0 {
+			z.failing++
+		}
+		if (overdue || asked) && m.rt.failed >= 2 {
+			silent = append(silent, m)
+		}
+	}
+	c.judgeZones(zones)
+	for _, m := range c.noticed() {
+		if m.rt.probeBad > m.rt.noticeAt && m.rt.probeBad > m.rt.heardAt {
+			taken = append(taken, m) // announced, and now it does not answer
+		} else if c.now-m.rt.probeAt > units.Second/2 {
+			m.rt.probeAt = c.now
+			c.inspect(m)
+		}
+	}
+	if len(taken) > 0 {
+		c.giveUp("taken back", taken...)
+	}
+	if hearing == 0 && total > 0 {
+		c.handOverDeaf()
+	}
+	if len(silent) > 0 && hearing*2 < total {
+		c.cloud.doubtAt = c.now
+	}
+	// This node's own silence is no evidence. Most machines must be heard here,
+	// and every living controller must say that it does not hear the machine.
+	if len(silent)+len(deaf)+len(mute) == 0 || hearing*2 < total || !c.every("retire", units.Second) {
+		return
+	}
+	var gone []*machine
+	for _, m := range silent {
+		if len(gone) <= total/8 && m.rt.failed >= 2 && !c.zones[m.doc.Zone].doubt && !c.othersHear(m.name, zones[m.doc.Zone].reached()) {
+			gone = append(gone, m)
+		}
+	}
+	c.giveUp("silent", gone...)
+	c.giveUp("nothing reaches it", deaf...)
+	for _, m := range mute {
+		if reporting*2 >= total && c.now-m.rt.heardAt < report*3/2 && !c.othersHear(m.name, true) {
+			c.giveUp("it reaches nobody", m)
+		}
+	}
+}
+
+// zoneState is what is remembered of a zone that may be cut off.
+type zoneState struct {
+	asked units.Micros // when all machines there were asked
+	doubt bool         // it still may be
+}
+
+// zoneView is what an owner sees of its machines in one zone.
+type zoneView struct {
+	machines []*machine
+	hearing  int // that report
+	failing  int // that did not answer a question
+}
+
+// judgeZones notices zones that may be cut off. When several machines of a zone
+// fall silent at once, all of them there are asked, so that those that have died
+// with them are known before their reports are overdue. If next to none answers, it
+// is the way to the zone that is lost: the machines run on behind the cut, their
+// tasks until their leases end, and all of them are back after it; deleting them
+// once took half of a fleet's machines away for minutes. Of those that are really
+// gone the cloud's list will tell.
+func (c *Core) judgeZones(zones map[string]*zoneView) {
+	several := func(z *zoneView) bool { return z != nil && z.failing >= max(3, len(z.machines)/20) }
+	for zone, s := range c.zones {
+		if !several(zones[zone]) {
+			delete(c.zones, zone)
+			zones[zone].back(s.doubt)
+		}
+	}
+	// With one zone alone, a silent majority is doubted anyway.
+	others := len(zones) > 1
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		z := zones[zone]
+		s, open := c.zones[zone]
+		switch {
+		case !several(z):
+		case !open || c.now-s.asked > zoneAgain:
+			c.zones[zone] = zoneState{asked: c.now, doubt: others && (!open || s.doubt)} // until the first answers
+			for _, m := range z.machines {
+				if c.now-m.rt.heardAt > units.Second {
+					m.rt.probeAt = c.now
+					c.inspect(m)
+				}
+			}
+		case c.now-s.asked > zoneAnswers:
+			answered := z.heardSince(s.asked - units.Second)
+			was := s.doubt
+			s.doubt = others && answered*4 < len(z.machines)
+			c.zones[zone] = s
+			if !s.doubt {
+				z.back(was)
+				continue
+			}
+			c.cloud.doubtAt = c.now
+			if c.every("zone"+zone, 10*units.Second) {
+				c.log.Warn("zone seems cut off", "zone", zone, "machines", len(z.machines), "answer", answered)
+			}
+		}
+	}
+}
+
+// back is called when a zone is no longer in doubt. What its machines did not answer
+// before says nothing about them, and none was idle: the last to be heard again were
+// once deleted as silent, and those that were to be emptied as idle.
+func (z *zoneView) back(doubted bool) {
+	if z == nil || !doubted {
+		return
+	}
+	for _, m := range z.machines {
+		m.rt.failed, m.rt.draining = 0, false
+	}
+}
+
+// heardSince counts the zone's machines that were heard since then.
+func (z *zoneView) heardSince(at units.Micros) int {
+	n := 0
+	for _, m := range z.machines {
+		if m.rt.heardAt >= at {
+			n++
+		}
+	}
+	return n
+}
+
+// The machines of a zone in doubt have so long to answer, and are asked again
+// after a while.
+const (
+	zoneAnswers = 1800 * units.Millisecond
+	zoneAgain   = 10 * units.Second
+)
+
+// handOverDeaf gives a partition none of whose machines are heard here to a
+// controller that hears most of them: this node's own network is what fails,
+// and while it kept the partition the machines' leases would run out.
+func (c *Core) handOverDeaf() {
+	report := c.cfg.Settings.Report()
+	for _, p := range c.ownedParts() {
+		o := c.owned[p]
+		if o.inflight || c.now-o.since < 3*report || !c.mayOwe() || c.stateBad {
+			continue
+		}
+		for _, l := range c.living() {
+			member, inc, _ := strings.Cut(l, "/")
+			s, ok := c.peers[member]
+			if !ok || member == c.cfg.Member || s.beat.Inc != inc || c.now-s.at > 3*units.Second {
+				continue
+			}
+			mine, there := 0, 0
+			for _, m := range c.rep.machines {
+				if m.part() != p {
+					continue
+				}
+				mine++
+				if ago, ok := s.beat.Heard[m.name]; ok && units.Micros(ago) < 2*report {
+					there++
+				}
+			}
+			if mine > 0 && there*2 > mine {
+				c.log.Warn("hear none of the machines, another does", "partition", p, "to", member)
+				c.claim(p, l)
+				return
+			}
+		}
+	}
+}
+
+// noticed lists this node's machines whose announced end has come.
+func (c *Core) noticed() []*machine {
+	var out []*machine
+	for _, m := range c.sortedMachines() {
+		if m.rt != nil && m.rt.noticed && c.now > m.rt.noticeAt && c.usable(m.part()) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// reached reports whether the way to the zone is open: most machines there are heard.
+func (z *zoneView) reached() bool { return len(z.machines) >= 4 && z.hearing*2 >= len(z.machines) }
+
+// othersHear reports whether a living controller hears the machine. One that cannot
+// be asked might, unless the way to the machine's zone is open: while controllers
+// refuse each other's connections, nothing that died would be replaced.
+func (c *Core) othersHear(name string, reached bool) bool {
+	for key := range c.rep.nodes {
+		member, inc, _ := strings.Cut(strings.TrimPrefix(key, state.Nodes), "/")
+		if member == c.cfg.Member {
+			continue
+		}
+		p, ok := c.peers[member]
+		if !ok || p.beat.Inc != inc || c.now-p.at > 4*units.Second {
+			if !reached {
+				return true
+			}
+			continue
+		}
+		if ago, ok := p.beat.Heard[name]; ok && units.Micros(ago) < 2*c.cfg.Settings.Report() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/intake/submission.go
+++ b/internal/intake/submission.go
@@ -101,14 +101,14 @@
 		}
 		return *v
 	}
-	num := func(field string, v *float64, min float64, optional bool) float64 {
+	num := func(field string, v *float64, least float64, optional bool) float64 {
 		switch {
 		case v == nil && optional:
 			return 0
 		case v == nil:
 			fail(field, "missing")
 			return 0
-		case *v < min || *v > 1e9 || math.IsNaN(*v):
+		case *v < least || *v > 1e9 || math.IsNaN(*v):
 			fail(field, "out of range")
 		}
 		return *v
