--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -37,54 +37,78 @@
 	return d.holds(&j.spec) && d.gd.bytes >= taskBytes
 }
 
-// choose finds the best machine for a task of j: one that has the image, and
-// of those the fullest, so that large gaps stay whole.
+// choose finds the best machine for a task of j, or none.
 func (b *batch) choose(j *job) *draft {
-	c := b.c
 	var best *draft
 	bestScore := math.Inf(-1)
-	presses, passed := c.presses(j), c.passedOver(j)
+	presses, passed := b.c.presses(j), b.c.passedOver(j)
 	for _, d := range b.drafts {
-		if !d.fits(j) || !b.room(d.gd) || !c.allowed(j, d.m) {
+		if !d.fits(j) || !b.room(d.gd) || !b.c.allowed(j, d.m) {
 			continue
 		}
-		if !j.spec.Service && !presses && (b.picked && !passed && !d.gd.picked && !d.gd.changed || b.spoken(d.gd)) {
-			continue // not among those of this batch, or its own jobs wait for that room
-		}
-		if held := b.o.held[d.m.name].job; held != "" && held != j.id && !j.spec.Service && !presses {
+		if !j.spec.Service && !presses && b.keptFrom(j, d, passed) {
 			continue
 		}
-		score := -d.cpus
-		if d.has(j.spec.Image) && j.spec.Service {
-			score += 1000
-		} else if d.has(j.spec.Image) {
-			score += 120
-		}
-		if d.gd.own {
-			score += 70
-		}
-		// What lasts goes on machines that stay, so that rented ones fall idle
-		// and can be given back; what ends soon leaves the others free.
-		switch {
-		case j.spec.Service && !c.rented(d.m.name):
-			score += 300
-		case !j.spec.Service && d.m.doc.Spot && j.spec.CkptS > 0:
-			score += 300 // it loses little when the machine is taken back
-		case !j.spec.Service && d.m.doc.Spot:
-			score += 100
-		case !j.spec.Service && c.rented(d.m.name):
-			score += 150
-		}
-		if d.gd.changed {
-			score += 50
-		}
-		if score > bestScore {
+		if score := b.score(j, d); score > bestScore {
 			best, bestScore = d, score
 		}
 	}
 	return best
 }
 
+// keptFrom reports whether the room on a machine is not for this array now: its group is
+// not among those of this batch, the jobs of its own partition wait for the room, or the
+// machine is kept free for another job.
+func (b *batch) keptFrom(j *job, d *draft, passed bool) bool {
+	if b.picked && !passed && !d.gd.picked && !d.gd.changed || b.spoken(d.gd) {
+		return true
+	}
+	held := b.o.held[d.m.name].job
+	return held != "" && held != j.id
+}
+
+// What speaks for a machine, in CPUs of free room that would weigh as much.
+const (
+	scoreServiceImage = 1000.0 // it has the service's image: a start must not wait for a fetch
+	scoreArrayImage   = 120.0
+	scoreOwn          = 70.0 // this controller commands it
+	scoreWritten      = 50.0 // its group is written by this batch anyway
+	scoreLasting      = 300.0
+	scoreRented       = 150.0
+	scoreSpot         = 100.0
+)
+
+// score says how well a machine suits a task of j: the fuller the better, so that large
+// gaps stay whole.
+func (b *batch) score(j *job, d *draft) float64 {
+	score := -d.cpus
+	if d.has(j.spec.Image) && j.spec.Service {
+		score += scoreServiceImage
+	} else if d.has(j.spec.Image) {
+		score += scoreArrayImage
+	}
+	if d.gd.own {
+		score += scoreOwn
+	}
+	// What lasts goes on machines that stay, so that rented ones fall idle
+	// and can be given back; what ends soon leaves the others free.
+	rented := b.c.rented(d.m.name)
+	switch {
+	case j.spec.Service && !rented:
+		score += scoreLasting
+	case !j.spec.Service && d.m.doc.Spot && j.spec.CkptS > 0:
+		score += scoreLasting // it loses little when the machine is taken back
+	case !j.spec.Service && d.m.doc.Spot:
+		score += scoreSpot
+	case !j.spec.Service && rented:
+		score += scoreRented
+	}
+	if d.gd.changed {
+		score += scoreWritten
+	}
+	return score
+}
+
 // put binds task n of j to d in this batch.
 func (b *batch) put(d *draft, j *job, n int) {
 	b.touch(d.gd)
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -141,49 +142,75 @@
 	c.dirty = true
 	switch {
 	case strings.HasPrefix(key, state.Nodes):
-		if deleted {
-			delete(r.nodes, key)
-		} else if _, ok := r.nodes[key]; !ok {
-			r.nodes[key] = c.now
-		}
+		c.applyNode(key, deleted)
 	case strings.HasPrefix(key, state.Parts):
-		n, err := strconv.Atoi(strings.TrimPrefix(key, state.Parts))
-		if err != nil || deleted {
-			return
-		}
-		var doc state.Part
-		if c.decode(key, val, &doc) {
-			r.parts[n] = &part{stamp: stamp, doc: doc}
-			c.ownership(n)
-		}
+		c.applyPartition(key, val, stamp, deleted)
 	case strings.HasPrefix(key, state.Groups):
-		if n, err := strconv.Atoi(strings.TrimPrefix(key, state.Groups)); err == nil && n < len(r.groups) && !deleted {
+		if n, ok := numberIn(key, state.Groups, len(r.groups)); ok && !deleted {
 			c.applyGroup(r.groups[n], val, stamp)
 		}
 	case strings.HasPrefix(key, state.Shelves):
-		if n, err := strconv.Atoi(strings.TrimPrefix(key, state.Shelves)); err == nil && n < len(r.shelves) {
+		if n, ok := numberIn(key, state.Shelves, len(r.shelves)); ok {
 			c.applyShelf(r.shelves[n], val)
 		}
 	case strings.HasPrefix(key, state.Progress):
 		c.applyPack(key, val)
 	case key == state.LayoutOf:
-		var doc state.Layout
-		if !deleted && !r.laidOut && c.decode(key, val, &doc) && doc.Groups > 0 && doc.Shelves > 0 {
-			r.layOut(doc)
-			r.laidOut = true
-		}
+		c.applyLayout(key, val, deleted)
 	case key == state.Base:
 		var doc state.BaseDoc
 		if !deleted && c.decode(key, val, &doc) {
 			r.base = &doc
 		}
 	case strings.HasPrefix(key, state.Cancels):
-		j := r.job(strings.TrimPrefix(key, state.Cancels))
-		j.cancelled = !deleted
-		j.touch()
-		if deleted {
-			r.tidy(j)
-		}
+		c.applyCancel(strings.TrimPrefix(key, state.Cancels), deleted)
+	}
+}
+
+// numberIn reads the number after a key's prefix; it must be below the limit.
+func numberIn(key, prefix string, limit int) (int, bool) {
+	n, err := strconv.Atoi(strings.TrimPrefix(key, prefix))
+	return n, err == nil && n >= 0 && n < limit
+}
+
+// applyNode notes a controller's registration, or its end.
+func (c *Core) applyNode(key string, deleted bool) {
+	if deleted {
+		delete(c.rep.nodes, key)
+	} else if _, ok := c.rep.nodes[key]; !ok {
+		c.rep.nodes[key] = c.now
+	}
+}
+
+// applyPartition takes a partition's new owner.
+func (c *Core) applyPartition(key string, val json.RawMessage, stamp uint64, deleted bool) {
+	n, ok := numberIn(key, state.Parts, math.MaxInt)
+	if !ok || deleted {
+		return
+	}
+	var doc state.Part
+	if c.decode(key, val, &doc) {
+		c.rep.parts[n] = &part{stamp: stamp, doc: doc}
+		c.ownership(n)
+	}
+}
+
+// applyLayout takes the store's layout, once.
+func (c *Core) applyLayout(key string, val json.RawMessage, deleted bool) {
+	var doc state.Layout
+	if !deleted && !c.rep.laidOut && c.decode(key, val, &doc) && doc.Groups > 0 && doc.Shelves > 0 {
+		c.rep.layOut(doc)
+		c.rep.laidOut = true
+	}
+}
+
+// applyCancel notes that a job is cancelled, or that it is cleared away.
+func (c *Core) applyCancel(id string, deleted bool) {
+	j := c.rep.job(id)
+	j.cancelled = !deleted
+	j.touch()
+	if deleted {
+		c.rep.tidy(j)
 	}
 }
 
--- a/internal/core/unreachable.go
+++ b/internal/core/unreachable.go
@@ -9,94 +9,118 @@
 	"frostdock.example/frostdock/internal/units"
 )
 
+// fleetView is what a controller sees of the machines that it commands.
+type fleetView struct {
+	total     int // machines
+	hearing   int // that report
+	reporting int // that are not mute
+	zones     map[string]*zoneView
+
+	silent []*machine // neither report nor answer
+	deaf   []*machine // report, but nothing reaches them
+	mute   []*machine // answer, but their reports reach nobody
+}
+
 // watchMachines looks after machines that have fallen silent.
 func (c *Core) watchMachines() {
 	if !c.rep.synced {
 		return
 	}
-	report := c.cfg.Settings.Report()
-	total, hearing, reporting := 0, 0, 0
-	zones := map[string]*zoneView{}
-	var silent, taken, deaf, mute []*machine
+	v := &fleetView{zones: map[string]*zoneView{}}
 	for _, m := range c.sortedMachines() {
-		if m.rt == nil || !c.usable(m.part()) {
-			continue
-		}
-		total++
-		c.recovered(m)
-		if c.mute(m) {
-			mute = append(mute, m)
-		} else {
-			reporting++
-		}
-		z := zones[m.doc.Zone]
-		if z == nil {
-			z = &zoneView{}
-			zones[m.doc.Zone] = z
-		}
-		z.machines = append(z.machines, m)
-		if m.rt.unheard >= deafAfter || m.rt.unheard > 0 && m.rt.failed >= 2 {
-			deaf = append(deaf, m)
-			continue
-		}
-		last := max(m.rt.heardAt, m.rt.since-report) // a new owner asks at once, and need not wait as long
-		overdue := c.now-last > report*13/10
-		if c.now-last < report*3/2 {
-			hearing++
-			z.hearing++
-			if m.rt.seen < c.token(m) && m.rt.heardAt > 0 {
-				c.poke(m) // raise its token, so that absence can prove something
-			}
+		if m.rt != nil && c.usable(m.part()) {
+			c.recovered(m)
+			c.watchMachine(v, m)
 		}
-		// The report is overdue, or a command was not answered: ask the machine
-		// itself, and again.
-		// In a zone where many fall silent all are asked, and those that do not answer
-		// once more.
-		asked := m.rt.failed > 0 && c.zones[m.doc.Zone].asked > 0
-		if (overdue || m.rt.unclear || asked) && c.now-m.rt.probeAt > units.Second {
-			m.rt.probeAt = c.now
-			c.inspect(m)
-		}
-		if m.rt.failed > 0 {
-			z.failing++
-		}
-		if (overdue || asked) && m.rt.failed >= 2 {
-			silent = append(silent, m)
+	}
+	c.judgeZones(v.zones)
+	c.giveUpTaken()
+	if v.hearing == 0 && v.total > 0 {
+		c.handOverDeaf()
+	}
+	if len(v.silent) > 0 && v.hearing*2 < v.total {
+		c.cloud.doubtAt = c.now
+	}
+	// This node's own silence is no evidence: most machines must be heard here.
+	if len(v.silent)+len(v.deaf)+len(v.mute) == 0 || v.hearing*2 < v.total || !c.every("retire", units.Second) {
+		return
+	}
+	c.giveUpUnreachable(v)
+}
+
+// watchMachine enters one machine into the view, and asks it when its report is overdue.
+func (c *Core) watchMachine(v *fleetView, m *machine) {
+	report := c.cfg.Settings.Report()
+	v.total++
+	if c.mute(m) {
+		v.mute = append(v.mute, m)
+	} else {
+		v.reporting++
+	}
+	z := v.zones[m.doc.Zone]
+	if z == nil {
+		z = &zoneView{}
+		v.zones[m.doc.Zone] = z
+	}
+	z.machines = append(z.machines, m)
+	if m.rt.unheard >= deafAfter || m.rt.unheard > 0 && m.rt.failed >= 2 {
+		v.deaf = append(v.deaf, m)
+		return
+	}
+	last := max(m.rt.heardAt, m.rt.since-report) // a new owner asks at once, and need not wait as long
+	overdue := c.now-last > report*13/10
+	if c.now-last < report*3/2 {
+		v.hearing++
+		z.hearing++
+		if m.rt.seen < c.token(m) && m.rt.heardAt > 0 {
+			c.poke(m) // raise its token, so that absence can prove something
 		}
 	}
-	c.judgeZones(zones)
+	// The report is overdue, or a command was not answered: ask the machine
+	// itself, and again.
+	// In a zone where many fall silent all are asked, and those that do not answer
+	// once more.
+	asked := m.rt.failed > 0 && c.zones[m.doc.Zone].asked > 0
+	if (overdue || m.rt.unclear || asked) && c.now-m.rt.probeAt > units.Second {
+		m.rt.probeAt = c.now
+		c.inspect(m)
+	}
+	if m.rt.failed > 0 {
+		z.failing++
+	}
+	if (overdue || asked) && m.rt.failed >= 2 {
+		v.silent = append(v.silent, m)
+	}
+}
+
+// giveUpTaken returns machines whose announced end has come and that do not answer any
+// more, and asks the others.
+func (c *Core) giveUpTaken() {
+	var taken []*machine
 	for _, m := range c.noticed() {
 		if m.rt.probeBad > m.rt.noticeAt && m.rt.probeBad > m.rt.heardAt {
-			taken = append(taken, m) // announced, and now it does not answer
+			taken = append(taken, m)
 		} else if c.now-m.rt.probeAt > units.Second/2 {
 			m.rt.probeAt = c.now
 			c.inspect(m)
 		}
 	}
-	if len(taken) > 0 {
-		c.giveUp("taken back", taken...)
-	}
-	if hearing == 0 && total > 0 {
-		c.handOverDeaf()
-	}
-	if len(silent) > 0 && hearing*2 < total {
-		c.cloud.doubtAt = c.now
-	}
-	// This node's own silence is no evidence. Most machines must be heard here,
-	// and every living controller must say that it does not hear the machine.
-	if len(silent)+len(deaf)+len(mute) == 0 || hearing*2 < total || !c.every("retire", units.Second) {
-		return
-	}
+	c.giveUp("taken back", taken...)
+}
+
+// giveUpUnreachable returns machines that are gone for all that can be known. Every living
+// controller must say that it does not hear the machine.
+func (c *Core) giveUpUnreachable(v *fleetView) {
 	var gone []*machine
-	for _, m := range silent {
-		if len(gone) <= total/8 && m.rt.failed >= 2 && !c.zones[m.doc.Zone].doubt && !c.othersHear(m.name, zones[m.doc.Zone].reached()) {
+	for _, m := range v.silent {
+		if len(gone) <= v.total/8 && m.rt.failed >= 2 && !c.zones[m.doc.Zone].doubt && !c.othersHear(m.name, v.zones[m.doc.Zone].reached()) {
 			gone = append(gone, m)
 		}
 	}
 	c.giveUp("silent", gone...)
-	c.giveUp("nothing reaches it", deaf...)
-	for _, m := range mute {
-		if reporting*2 >= total && c.now-m.rt.heardAt < report*3/2 && !c.othersHear(m.name, true) {
+	c.giveUp("nothing reaches it", v.deaf...)
+	for _, m := range v.mute {
+		if v.reporting*2 >= v.total && c.now-m.rt.heardAt < c.cfg.Settings.Report()*3/2 && !c.othersHear(m.name, true) {
 			c.giveUp("it reaches nobody", m)
 		}
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 
@@ -221,47 +222,16 @@
 	size := 0
 	var in []accept
 	for _, s := range c.byUrgency(byShelf) {
-		wait := byShelf[s]
 		// Of many shelves in one transaction, one that another controller has just
 		// written makes all fail.
 		if c.writing[s.key] || len(txn.Apply) >= max(1, c.cfg.Settings.State.TxnOps/2) || size > txnBytes/2 {
-			c.accepts = append(c.accepts, wait...)
+			c.accepts = append(c.accepts, byShelf[s]...)
 			continue
 		}
-		doc := c.shelfDoc(s, nil)
-		room := c.valueMax() - s.size
-		var put []accept
-		for _, a := range wait {
-			j := c.rep.jobs[a.job.ID]
-			twice := slices.ContainsFunc(put, func(b accept) bool { return b.job.ID == a.job.ID })
-			cost := state.StoredCost(len(encode(a.job)))
-			switch {
-			case j != nil && j.known: // entered meanwhile, by way of another controller
-				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
-			case cost > c.valueMax()-headBytes:
-				c.answer(a.to, 422, map[string]string{"error": "too large to be stored"})
-			case twice || len(txn.Guards)+len(put)+2 > 4*c.cfg.Settings.State.TxnOps:
-				c.accepts = append(c.accepts, a)
-			case cost > room:
-				c.answer(a.to, 503, nil) // the shelf is full: others must end first
-			default:
-				room -= cost
-				put = append(put, a)
-				doc.Jobs = append(doc.Jobs, *a.job)
-			}
-		}
+		put, val := c.fillShelf(s, byShelf[s], mark, len(txn.Guards))
 		if len(put) == 0 {
 			continue
 		}
-		doc.Mark = mark
-		val := encode(doc)
-		if len(val) > c.valueMax() { // what was added is longer than it looked
-			c.log.Error("a shelf outgrew its document", "shelf", s.key, "bytes", len(val))
-			for _, a := range put {
-				c.answer(a.to, 503, nil)
-			}
-			continue
-		}
 		size += len(val)
 		txn.Guards = append(txn.Guards, state.Guard{Key: s.key, Stamp: c.rep.stamps[s.key]})
 		for _, a := range put {
@@ -285,22 +255,69 @@
 			c.acceptRev = rev // the shelves as they now are must be seen first
 		}
 		for _, a := range in {
-			switch {
-			case res == committed:
-				c.answer(a.to, 201, &Status{ID: a.job.ID, Stage: Pending})
-			case res == refused:
-				c.answer(a.to, 503, nil)
-			case res == busy: // a moment later it may be taken
-				c.accepts = append(c.accepts, a)
-			case slices.Contains(failed, state.Finals+a.job.ID): // over already
-				c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
-			default:
-				c.accepts = append(c.accepts, a)
-			}
+			c.settleAccept(a, res, failed)
 		}
 	})
 }
 
+// settleAccept answers a submission whose transaction has come to an end, or lets it wait
+// for the next one.
+func (c *Core) settleAccept(a accept, res outcome, failed []string) {
+	switch {
+	case res == committed:
+		c.answer(a.to, 201, &Status{ID: a.job.ID, Stage: Pending})
+	case res == refused:
+		c.answer(a.to, 503, nil)
+	case res == busy: // a moment later it may be taken
+		c.accepts = append(c.accepts, a)
+	case slices.Contains(failed, state.Finals+a.job.ID): // over already
+		c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
+	default:
+		c.accepts = append(c.accepts, a)
+	}
+}
+
+// fillShelf enters as many waiting submissions as the shelf and the transaction, which has
+// so many guards already, can take. It returns those and the shelf's new document, and
+// answers or puts back the others.
+func (c *Core) fillShelf(s *shelf, wait []accept, mark string, guards int) ([]accept, json.RawMessage) {
+	doc := c.shelfDoc(s, nil)
+	room := c.valueMax() - s.size
+	var put []accept
+	for _, a := range wait {
+		j := c.rep.jobs[a.job.ID]
+		twice := slices.ContainsFunc(put, func(b accept) bool { return b.job.ID == a.job.ID })
+		cost := state.StoredCost(len(encode(a.job)))
+		switch {
+		case j != nil && j.known: // entered meanwhile, by way of another controller
+			c.current(a.job.ID, func(st *Status, ok bool) { c.known(a.to, st, ok) })
+		case cost > c.valueMax()-headBytes:
+			c.answer(a.to, 422, map[string]string{"error": "too large to be stored"})
+		case twice || guards+len(put)+2 > 4*c.cfg.Settings.State.TxnOps:
+			c.accepts = append(c.accepts, a)
+		case cost > room:
+			c.answer(a.to, 503, nil) // the shelf is full: others must end first
+		default:
+			room -= cost
+			put = append(put, a)
+			doc.Jobs = append(doc.Jobs, *a.job)
+		}
+	}
+	if len(put) == 0 {
+		return nil, nil
+	}
+	doc.Mark = mark
+	val := encode(doc)
+	if len(val) > c.valueMax() { // what was added is longer than it looked
+		c.log.Error("a shelf outgrew its document", "shelf", s.key, "bytes", len(val))
+		for _, a := range put {
+			c.answer(a.to, 503, nil)
+		}
+		return nil, nil
+	}
+	return put, val
+}
+
 // known answers a submission of a job that was found to be known already.
 func (c *Core) known(to uint64, st *Status, ok bool) {
 	if ok && st != nil {
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -161,6 +161,22 @@
 	return b.String()
 }
 
+// meetingJobs writes what the users of a day of meetings submit.
+func meetingJobs(b *strings.Builder, rng *rand.Rand, pick func(of ...string) string) {
+	for i := range 34 {
+		n := 1 + rng.IntN(12)
+		if rng.IntN(3) == 0 {
+			n = 2 + rng.IntN(2)
+		}
+		fmt.Fprintf(b, "at %.1f submit j-%d n=%d team=%s run=%d cpus=%s spot=%s onezone=%s zone=%s grade=%s ckpt=%s save=%s gb=%s image=img%d broken=%s\n", 1+rng.Float64()*220, 10+i, n,
+			pick("red", "blue", "green"), 5+int(rng.Float64()*rng.Float64()*140), pick("1", "2", "4"), pick("yes", "no"), pick("no", "no", "yes"), pick("", "", "a", "b"),
+			pick("standard", "best_effort", "urgent"), pick("0", "0", "5"), pick("1", "4"), pick("0.2", "3"), rng.IntN(5), pick("no", "no", "no", "no", "no", "yes"))
+	}
+	for i := range 5 {
+		fmt.Fprintf(b, "at %.1f submit j-%d kind=service n=%d team=%s cpus=2 spread=%s\n", 1+rng.Float64()*60, 80+i, 1+rng.IntN(4), pick("blue", "green"), pick("yes", "no"))
+	}
+}
+
 // meetings writes a scenario in which troubles meet in pairs, within seconds of each
 // other: those of the operators' list, on a small fleet with leases and cancellations
 // of the sites' lengths.
@@ -174,18 +190,7 @@
 	b.WriteString("team red cpus=40 max=90\nteam blue max=70\nteam green cpus=30\n")
 	b.WriteString("type big cpus=16 mem=64 zones=a,b count=8 spot=4 fetch=0.3 boot=20\ntype small cpus=4 mem=16 zones=a,b count=6 boot=20\n")
 	b.WriteString("machines big n=5 zone=a\nmachines big n=4 zone=b\nmachines small n=3 zone=b\n")
-	for i := range 34 {
-		n := 1 + rng.IntN(12)
-		if rng.IntN(3) == 0 {
-			n = 2 + rng.IntN(2)
-		}
-		fmt.Fprintf(&b, "at %.1f submit j-%d n=%d team=%s run=%d cpus=%s spot=%s onezone=%s zone=%s grade=%s ckpt=%s save=%s gb=%s image=img%d broken=%s\n", 1+rng.Float64()*220, 10+i, n,
-			pick("red", "blue", "green"), 5+int(rng.Float64()*rng.Float64()*140), pick("1", "2", "4"), pick("yes", "no"), pick("no", "no", "yes"), pick("", "", "a", "b"),
-			pick("standard", "best_effort", "urgent"), pick("0", "0", "5"), pick("1", "4"), pick("0.2", "3"), rng.IntN(5), pick("no", "no", "no", "no", "no", "yes"))
-	}
-	for i := range 5 {
-		fmt.Fprintf(&b, "at %.1f submit j-%d kind=service n=%d team=%s cpus=2 spread=%s\n", 1+rng.Float64()*60, 80+i, 1+rng.IntN(4), pick("blue", "green"), pick("yes", "no"))
-	}
+	meetingJobs(&b, rng, pick)
 	node := func() string { return fmt.Sprintf("node%d", rng.IntN(3)) }
 	say := func(t float64, format string, args ...any) {
 		fmt.Fprintf(&b, "at %.2f "+format+"\n", append([]any{max(t, 0.5)}, args...)...)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -27,8 +27,6 @@
 type row struct {
 	l    provision.Listed
 	born units.Micros
-	// when it shows as running although it died
-	until units.Micros
 }
 
 type snapshot struct {
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -9,14 +9,33 @@
 	"frostdock.example/frostdock/internal/units"
 )
 
+// breach breaks one rule.
+type breach struct {
+	rule string
+	do   func(c *Checker)
+}
+
 // TestCheckerCatches breaks each rule once and sees that it is noticed.
 func TestCheckerCatches(t *testing.T) {
+	for _, tc := range append(breachesOnMachines(), breachesInAnswers()...) {
+		c := NewChecker()
+		c.now = units.Second
+		c.limits["red"] = 4
+		c.Submitted(&state.Job{ID: "j-1", Team: "red", Tasks: 3, CPUs: 2})
+		c.Submitted(&state.Job{ID: "j-2", Team: "blue", Tasks: 2, CPUs: 1, Spread: true})
+		c.Submitted(&state.Job{ID: "j-3", Team: "blue", Tasks: 2, CPUs: 1, OneZone: true})
+		tc.do(c)
+		if len(c.Broken) != 1 || !strings.Contains(c.Broken[0], tc.rule) {
+			t.Errorf("%s: noticed %q", tc.rule, c.Broken)
+		}
+	}
+}
+
+// breachesOnMachines are those of tasks: where and when they run.
+func breachesOnMachines() []breach {
 	spot := provision.Listed{Type: "big", Zone: "a", Spot: true}
 	a, b := provision.Listed{Type: "big", Zone: "a"}, provision.Listed{Type: "big", Zone: "b"}
-	for _, tc := range []struct {
-		rule string
-		do   func(c *Checker)
-	}{
+	return []breach{
 		{"ran_twice", func(c *Checker) { c.On("m1", a, "j-1", 0); c.On("m2", a, "j-1", 0) }},
 		{"quota", func(c *Checker) { c.On("m1", a, "j-1", 0); c.On("m1", a, "j-1", 1); c.On("m1", a, "j-1", 2) }},
 		{"wrong_place", func(c *Checker) { c.On("m1", spot, "j-1", 0) }},
@@ -58,6 +77,13 @@
 				c.Waits("j-1", "m1", true)
 			}
 		}},
+	}
+}
+
+// breachesInAnswers are those of what users are told, and of who is served.
+func breachesInAnswers() []breach {
+	a := provision.Listed{Type: "big", Zone: "a"}
+	return []breach{
 		{"accepted_bad", func(c *Checker) {
 			c.Bad("j-1", "lacks a field")
 			c.Answer("submit", "j-1", 201, "pending", c.Told("j-1"))
@@ -109,16 +135,5 @@
 		}},
 		{"went_back", func(c *Checker) { c.Answer("poll", "j-1", 200, "cancelled", c.Told("j-1")) }},
 		{"nothing_ran", func(c *Checker) { c.End() }},
-	} {
-		c := NewChecker()
-		c.now = units.Second
-		c.limits["red"] = 4
-		c.Submitted(&state.Job{ID: "j-1", Team: "red", Tasks: 3, CPUs: 2})
-		c.Submitted(&state.Job{ID: "j-2", Team: "blue", Tasks: 2, CPUs: 1, Spread: true})
-		c.Submitted(&state.Job{ID: "j-3", Team: "blue", Tasks: 2, CPUs: 1, OneZone: true})
-		tc.do(c)
-		if len(c.Broken) != 1 || !strings.Contains(c.Broken[0], tc.rule) {
-			t.Errorf("%s: noticed %q", tc.rule, c.Broken)
-		}
 	}
 }
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -271,27 +271,6 @@
 	case "cut":
 		mode := a.val("mode", "drop")
 		w.cuts = append(w.cuts, &cut{a: a.str(0), b: a.str(1), until: w.now + length, hold: mode == "hold", deaf: mode == "deaf", mute: mode == "mute"})
-	case "slow_answers":
-		w.slowAnswers = a.dur("by", 3)
-		w.after(length, func() { w.slowAnswers = 0 })
-	case "late_writes":
-		w.store.late = a.num("share", 0.3)
-		w.after(length, func() { w.store.late = 0 })
-	case "late_reports":
-		w.copies = a.num("share", 0.3)
-		w.after(length, func() { w.copies = 0 })
-	case "slow_state":
-		w.store.slow = a.dur("by", 0.5)
-		w.after(length, func() { w.store.slow = 0 })
-	case "blind":
-		w.store.blind[a.str(0)] = w.now + length
-	case "cancel_now":
-		w.cancelNow(int(a.num("count", 8)), a.dur("hang", 0))
-	case "cancel_at_end":
-		w.users.cancelAtEnd = a.num("share", 0.5)
-		w.after(length, func() { w.users.cancelAtEnd = 0 })
-	case "odd":
-		w.users.odd(w.now + length)
 	case "freeze":
 		n := w.node(a.str(0))
 		if n == nil {
@@ -324,6 +303,36 @@
 			}
 			w.harm(do, k, a, length)
 		}
+	default:
+		return w.actOnTraffic(do, a, length)
+	}
+	return a.err
+}
+
+// actOnTraffic carries out a step that concerns messages, the state service or users.
+func (w *World) actOnTraffic(do string, a *args, length units.Micros) error {
+	switch do {
+	case "slow_answers":
+		w.slowAnswers = a.dur("by", 3)
+		w.after(length, func() { w.slowAnswers = 0 })
+	case "late_writes":
+		w.store.late = a.num("share", 0.3)
+		w.after(length, func() { w.store.late = 0 })
+	case "late_reports":
+		w.copies = a.num("share", 0.3)
+		w.after(length, func() { w.copies = 0 })
+	case "slow_state":
+		w.store.slow = a.dur("by", 0.5)
+		w.after(length, func() { w.store.slow = 0 })
+	case "blind":
+		w.store.blind[a.str(0)] = w.now + length
+	case "cancel_now":
+		w.cancelNow(int(a.num("count", 8)), a.dur("hang", 0))
+	case "cancel_at_end":
+		w.users.cancelAtEnd = a.num("share", 0.5)
+		w.after(length, func() { w.users.cancelAtEnd = 0 })
+	case "odd":
+		w.users.odd(w.now + length)
 	default:
 		return fmt.Errorf("unknown step")
 	}
@@ -457,6 +466,15 @@
 				return fmt.Sprintf("%s is not, or late: at %.1f s", id, at.Seconds()), nil
 			}
 		}
+	default:
+		return w.checkCounts(what, a)
+	}
+	return "", a.err
+}
+
+// checkCounts answers an expectation about machines and numbers.
+func (w *World) checkCounts(what string, a *args) (string, error) {
+	switch what {
 	case "gone", "there": // machines that were given back or have died; or have not
 		for _, n := range a.pos[1:] {
 			if (w.workers[n] != nil) != (what == "there") {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -35,7 +35,6 @@
 	sick                bool
 	slow                float64
 	notice              *float64
-	takenAt             units.Micros
 }
 
 type task struct {
@@ -48,7 +47,6 @@
 	ready   units.Micros // when its image is there
 	ends    units.Micros // when it completes
 	begun   units.Micros
-	killed  bool
 }
 
 func (t *task) id() string { return t.job + "/" + strconv.Itoa(t.num) }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -355,7 +355,7 @@
 			if o == n || w.blocked(n.name, o.name, false) != nil {
 				continue
 			}
-			w.after(w.jitter(), func() { o.alive(func() { o.post(core.PeerBeat{Beat: e.Beat}) }) })
+			w.after(w.jitter(), func() { o.alive(func() { o.post(core.PeerBeat(e)) }) })
 		}
 	}
 }
