--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -181,10 +181,10 @@
 // Report is the workers' report period.
 func (s *Settings) Report() units.Micros { return units.FromSeconds(s.Workers.ReportS) }
 
-// AnswerBound is how long after its last proof of a claim a node may go on
-// answering workers. It and one lease together stay well under cancel_s, so a
-// node that is cut off from the state service cannot keep a cancelled task
-// alive for longer than the rules allow.
+// AnswerBound is how long a controller may go on answering workers after the last
+// moment at which its copy is known to have been complete. It and one lease together
+// stay well under cancel_s, so a controller that is cut off from the state service cannot
+// keep a cancelled task alive for longer than the rules allow.
 func (s *Settings) AnswerBound() units.Micros {
 	return units.FromSeconds((s.Workers.CancelS - s.Workers.LeaseS) * 0.5)
 }
--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -146,10 +146,10 @@
 // ones wait, and the last in the order would wait for all others.
 func (b *batch) hold(j *job) {
 	c := b.c
-	if j.failures > 0 || c.now < b.o.holdFrom || c.wall-units.Micros(j.spec.At) < beginWithin || len(b.o.held) > len(b.drafts)/20 || !b.underLimit(j) {
+	if j.failures > 0 || c.now < b.o.reserveFrom || c.wall-units.Micros(j.spec.At) < beginWithin || len(b.o.reservedFor) > len(b.drafts)/20 || !b.underLimit(j) {
 		return
 	}
-	for _, k := range b.o.held {
+	for _, k := range b.o.reservedFor {
 		if k.job == j.id {
 			return
 		}
@@ -157,32 +157,32 @@
 	var best *draft
 	for _, d := range b.drafts {
 		t := c.machineType(d.m.doc.Type)
-		if d.gd.own && d.usable && b.o.held[d.m.name].job == "" && t != nil && intake.Fits(&j.spec, t) && c.allowed(j, d.m) && (best == nil || d.cpus > best.cpus) {
+		if d.gd.own && d.usable && b.o.reservedFor[d.m.name].job == "" && t != nil && intake.Fits(&j.spec, t) && c.allowed(j, d.m) && (best == nil || d.cpus > best.cpus) {
 			best = d
 		}
 	}
 	if best != nil {
-		b.o.held[best.m.name] = kept{j.id, c.now}
+		b.o.reservedFor[best.m.name] = kept{j.id, c.now}
 		c.log.Info("keep a machine free", "machine", best.m.name, "for", j.id)
 	}
 }
 
 // holds drops the machines that need not be kept free any more.
 func (b *batch) holds(active []*job) {
-	for name, k := range b.o.held {
+	for name, k := range b.o.reservedFor {
 		needed := slices.ContainsFunc(active, func(j *job) bool { return j.id == k.job && j.active() == 0 && j.doneCount() == 0 && j.failures == 0 })
-		if !needed || b.c.now-k.at > heldFor {
-			delete(b.o.held, name)
+		if !needed || b.c.now-k.at > reservationPeriod {
+			delete(b.o.reservedFor, name)
 		}
-		if needed && b.c.now-k.at > heldFor {
-			b.o.holdFrom = b.c.now + heldFor/2
+		if needed && b.c.now-k.at > reservationPeriod {
+			b.o.reserveFrom = b.c.now + reservationPeriod/2
 		}
 	}
 }
 
-// heldFor is how long a machine may be kept free in one go. Small jobs beside it must
+// reservationPeriod is how long a machine may be kept free in one go. Small jobs beside it must
 // not wait for as long as the large one does.
-const heldFor = 60 * units.Second
+const reservationPeriod = 60 * units.Second
 
 // lookAhead counts the room of tasks that are about to end as free. What is
 // entered there is launched the moment that room is free, without waiting for
@@ -209,7 +209,7 @@
 	}
 	var all []roomy
 	for _, gd := range b.groups {
-		if gd.changed || b.spoken(gd) {
+		if gd.changed || b.claimedByOwner(gd) {
 			continue
 		}
 		r := roomy{gd: gd}
@@ -258,16 +258,16 @@
 // it is for a job whose tasks differ, and it cannot go elsewhere meanwhile.
 const worthQueueing = 2 * units.Second
 
-// spoken reports whether a group's room is left to its own partition's jobs, which
+// claimedByOwner reports whether a group's room is left to its own partition's jobs, which
 // wait. If they have not taken it for a while they cannot: their team is at its
 // limit, they fail, or fit nowhere there. One such task once kept all others off a
 // partition's free machines for good.
-func (b *batch) spoken(gd *groupDraft) bool {
-	return !gd.own && b.busy[gd.g.part] && b.c.now-gd.g.changedAt < spokenFor
+func (b *batch) claimedByOwner(gd *groupDraft) bool {
+	return !gd.own && b.busy[gd.g.part] && b.c.now-gd.g.changedAt < ownerClaimPeriod
 }
 
-// spokenFor is several times what an owner needs to visit all of its groups.
-const spokenFor = 15 * units.Second
+// ownerClaimPeriod is several times what an owner needs to visit all of its groups.
+const ownerClaimPeriod = 15 * units.Second
 
 var gradeNames = [...]string{"best_effort", "standard", "urgent", "production"}
 
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -12,18 +12,18 @@
 
 // own is a partition that this process has claimed.
 type own struct {
-	n        int
-	stamp    uint64 // guards every write
-	epoch    uint64
-	since    units.Micros
-	inflight bool // a commit of this partition is outstanding
-	seq      uint64
-	refresh  units.Micros
-	pauseTo  units.Micros
-	planAt   units.Micros    // not before
-	held     map[string]kept // machines kept free
-	holdFrom units.Micros    // none is kept free before
-	needRev  uint64          // no planning before the replica has come this far
+	n           int
+	stamp       uint64 // guards every write
+	epoch       uint64
+	since       units.Micros
+	inflight    bool // a commit of this partition is outstanding
+	seq         uint64
+	refresh     units.Micros
+	pauseTo     units.Micros
+	planAt      units.Micros    // not before
+	reservedFor map[string]kept // machines kept free
+	reserveFrom units.Micros    // none is kept free before
+	needRev     uint64          // no planning before the replica has come this far
 }
 
 // kept is for which job a machine is kept free, and since when.
@@ -32,23 +32,23 @@
 	at  units.Micros
 }
 
-const holdTTL = 5 * units.Second
+const registrationTTL = 5 * units.Second
 
 // register obtains a lease of the state service and enters this process in the
 // list of the living.
 func (c *Core) register() {
 	c.alive = false
 	retry := func() { c.after(300*units.Millisecond, c.register) }
-	c.callState(state.Request{Kind: state.Grant, TTLMs: holdTTL.Milliseconds()}, func(r state.Response) {
+	c.callState(state.Request{Kind: state.Grant, TTLMs: registrationTTL.Milliseconds()}, func(r state.Response) {
 		if r.Status != 200 || r.Permit == 0 {
 			retry()
 			return
 		}
-		c.permit = r.Permit
-		key := state.NodeKey(c.cfg.Member, c.inc)
+		c.leaseID = r.Permit
+		key := state.NodeKey(c.cfg.Member, c.incarnation)
 		txn := &state.Txn{
 			Guards: []state.Guard{{Key: key}},
-			Apply:  []state.Op{{Set: key, Value: encode(map[string]string{"w": c.inc}), Permit: c.permit}},
+			Apply:  []state.Op{{Set: key, Value: encode(map[string]string{"w": c.incarnation}), Permit: c.leaseID}},
 		}
 		c.callState(state.Request{Kind: state.Commit, Txn: txn}, func(r state.Response) {
 			if r.Status != 200 {
@@ -59,30 +59,30 @@
 			}
 			c.apply(key, txn.Apply[0].Value, r.Rev, false)
 			c.alive = true
-			c.log.Info("registered", "inc", c.inc)
+			c.log.Info("registered", "inc", c.incarnation)
 			c.renew()
 		})
 	})
 }
 
 func (c *Core) reincarnate() {
-	c.incN++
-	c.inc = c.incBase + "." + strconv.Itoa(c.incN)
+	c.incarnations++
+	c.incarnation = c.processID + "." + strconv.Itoa(c.incarnations)
 	c.alive = false
 	for p := range c.owned {
 		delete(c.owned, p)
 	}
-	for _, m := range c.rep.machines {
+	for _, m := range c.replica.machines {
 		m.rt = nil
 	}
 }
 
 func (c *Core) renew() {
-	permit := c.permit
-	c.callState(state.Request{Kind: state.Renew, Permit: permit}, func(r state.Response) {
+	leaseID := c.leaseID
+	c.callState(state.Request{Kind: state.Renew, Permit: leaseID}, func(r state.Response) {
 		switch r.Status {
 		case 200:
-			c.after(holdTTL/5, c.renew)
+			c.after(registrationTTL/5, c.renew)
 		case 404:
 			// The lease has ended: others may own what this process held.
 			c.log.Warn("lease lost, giving up claims", "claims", c.ownedParts())
@@ -101,7 +101,7 @@
 // and a leader that went by its renewals alone once started tasks whose
 // cancellation it had not seen, more than cancel_s after it was confirmed.
 func (c *Core) entitled() bool {
-	return c.alive && c.rep.synced && c.knownAt > 0 && c.now-c.knownAt < c.cfg.Settings.AnswerBound()
+	return c.alive && c.replica.synced && c.knownAt > 0 && c.now-c.knownAt < c.cfg.Settings.AnswerBound()
 }
 
 // launchBound is how old the copy may be for a start. Leases may be kept for
@@ -116,17 +116,17 @@
 // the former owner wrote.
 func (c *Core) usable(p int) bool {
 	o := c.owned[p]
-	return o != nil && c.rep.watchRev >= o.stamp && c.entitled()
+	return o != nil && c.replica.watchRev >= o.stamp && c.entitled()
 }
 
 // ownership follows a partition's document.
 func (c *Core) ownership(n int) {
-	p := c.rep.parts[n]
-	mine := c.alive && p.doc.Member == c.cfg.Member && p.doc.Inc == c.inc
+	p := c.replica.parts[n]
+	mine := c.alive && p.doc.Member == c.cfg.Member && p.doc.Inc == c.incarnation
 	o := c.owned[n]
 	switch {
 	case mine && (o == nil || o.stamp != p.stamp):
-		o = &own{n: n, stamp: p.stamp, epoch: p.doc.Epoch, since: c.now, held: map[string]kept{}}
+		o = &own{n: n, stamp: p.stamp, epoch: p.doc.Epoch, since: c.now, reservedFor: map[string]kept{}}
 		c.owned[n] = o
 		c.log.Info("own partition", "partition", n, "epoch", o.epoch)
 		for _, m := range c.sortedMachines() {
@@ -137,7 +137,7 @@
 	case !mine && o != nil:
 		delete(c.owned, n)
 		c.log.Info("partition passed on", "partition", n, "to", p.doc.Member, "epoch", p.doc.Epoch)
-		for _, m := range c.rep.machines {
+		for _, m := range c.replica.machines {
 			if m.g.part == n {
 				m.rt = nil
 			}
@@ -148,7 +148,7 @@
 // living lists the members that are registered, one incarnation each, by name.
 func (c *Core) living() []string {
 	var out []string
-	for key := range c.rep.nodes {
+	for key := range c.replica.nodes {
 		out = append(out, strings.TrimPrefix(key, state.Nodes))
 	}
 	sort.Strings(out)
@@ -156,26 +156,26 @@
 }
 
 func (c *Core) ownerAlive(p *part) bool {
-	_, ok := c.rep.nodes[state.NodeKey(p.doc.Member, p.doc.Inc)]
+	_, ok := c.replica.nodes[state.NodeKey(p.doc.Member, p.doc.Inc)]
 	return ok
 }
 
 // claims takes partitions that nobody living owns, and gives one away when
 // another has none.
 func (c *Core) claims() {
-	if !c.entitled() || !c.mayOwe() || c.stateBad {
+	if !c.entitled() || !c.mayBorrow() || c.stateBad {
 		return
 	}
 	c.dropOldSelves()
 	living := c.living()
-	me := c.cfg.Member + "/" + c.inc
+	me := c.cfg.Member + "/" + c.incarnation
 	load := map[string]int{}
 	for _, l := range living {
 		load[l] = 0
 	}
 	var orphans []int
 	for n := 0; n < c.cfg.Settings.Size; n++ {
-		if p := c.rep.parts[n]; p != nil && c.ownerAlive(p) {
+		if p := c.replica.parts[n]; p != nil && c.ownerAlive(p) {
 			load[p.doc.Member+"/"+p.doc.Inc] += c.burden(n)
 		} else {
 			orphans = append(orphans, n)
@@ -209,8 +209,8 @@
 func (c *Core) dropOldSelves() {
 	for _, l := range c.living() {
 		key := state.Nodes + l
-		if strings.HasPrefix(l, c.cfg.Member+"/") && key != state.NodeKey(c.cfg.Member, c.inc) {
-			txn := &state.Txn{Guards: []state.Guard{{Key: key, Stamp: c.rep.stamps[key]}}, Apply: []state.Op{{Delete: key}}}
+		if strings.HasPrefix(l, c.cfg.Member+"/") && key != state.NodeKey(c.cfg.Member, c.incarnation) {
+			txn := &state.Txn{Guards: []state.Guard{{Key: key, Stamp: c.replica.stamps[key]}}, Apply: []state.Op{{Delete: key}}}
 			c.commit(txn, "", func(outcome, uint64, []string) {})
 			return
 		}
@@ -218,20 +218,20 @@
 }
 
 func (c *Core) claim(n int, who string) {
-	member, inc, _ := strings.Cut(who, "/")
+	member, incarnation, _ := strings.Cut(who, "/")
 	key := state.PartKey(n)
 	mark := c.mark()
-	doc := state.Part{Epoch: 1, Member: member, Inc: inc, Mark: mark}
-	self := state.NodeKey(c.cfg.Member, c.inc)
-	txn := &state.Txn{Guards: []state.Guard{{Key: self, Stamp: c.rep.stamps[self]}}}
-	if p := c.rep.parts[n]; p != nil {
+	doc := state.Part{Epoch: 1, Member: member, Inc: incarnation, Mark: mark}
+	self := state.NodeKey(c.cfg.Member, c.incarnation)
+	txn := &state.Txn{Guards: []state.Guard{{Key: self, Stamp: c.replica.stamps[self]}}}
+	if p := c.replica.parts[n]; p != nil {
 		doc.Epoch = p.doc.Epoch + 1
 		txn.Guards = append(txn.Guards, state.Guard{Key: key, Stamp: p.stamp})
 		if old := state.NodeKey(p.doc.Member, p.doc.Inc); old != self {
 			txn.Guards = append(txn.Guards, state.Guard{Key: old})
 		}
-		if target := state.NodeKey(member, inc); target != self {
-			txn.Guards = append(txn.Guards, state.Guard{Key: target, Stamp: c.rep.stamps[target]})
+		if target := state.NodeKey(member, incarnation); target != self {
+			txn.Guards = append(txn.Guards, state.Guard{Key: target, Stamp: c.replica.stamps[target]})
 		}
 	} else {
 		txn.Guards = append(txn.Guards, state.Guard{Key: key})
@@ -268,7 +268,7 @@
 // has lived long enough to be trusted with one.
 func (c *Core) giveAway(load map[string]int, me string) {
 	for _, l := range c.living() {
-		if c.now-c.rep.nodes[state.Nodes+l] < 8*units.Second {
+		if c.now-c.replica.nodes[state.Nodes+l] < 8*units.Second {
 			continue
 		}
 		for _, p := range c.ownedParts() {
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -71,9 +71,9 @@
 			k.calmAt = c.now
 		}
 		// A lull shorter than it takes to rent a machine again is no reason to empty one.
-		pressing := c.pressing()
-		c.consolidate(waiting || c.now-k.calmAt < c.slowestReturn(), pressing)
-		c.returnIdle(waiting, pressing)
+		starvingJobs := c.starvingJobs()
+		c.consolidate(waiting || c.now-k.calmAt < c.slowestReturn(), starvingJobs)
+		c.returnIdle(waiting, starvingJobs)
 	}
 	if c.every("delete", 200*units.Millisecond) {
 		c.deleteRetired()
@@ -127,7 +127,7 @@
 	c.unlisted()
 	var stray []string
 	for _, name := range slices.Sorted(maps.Keys(k.listed)) {
-		l, m := k.listed[name], c.rep.machines[name]
+		l, m := k.listed[name], c.replica.machines[name]
 		if m != nil {
 			delete(k.strayAt, name)
 			if l.State == provision.Failed && m.rt != nil && c.now-m.rt.heardAt > c.cfg.Settings.Report()*2 {
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -10,14 +10,14 @@
 
 // wanted reports whether a task in the machine's document should run there.
 func (c *Core) wanted(t state.Task) bool {
-	j := c.rep.jobs[t.Job]
+	j := c.replica.jobs[t.Job]
 	return j != nil && j.known && !j.cancelled && t.Stop == 0 && !j.isDone(t.Num)
 }
 
 // releasable reports whether a task in the document is certainly not, or no
 // longer, active on the machine, so that its entry may go.
 func (c *Core) releasable(m *machine, t state.Task) bool {
-	if j := c.rep.jobs[t.Job]; j == nil || !j.known || j.done.Has(t.Num) {
+	if j := c.replica.jobs[t.Job]; j == nil || !j.known || j.done.Has(t.Num) {
 		return true // its end is stored
 	} else if j.isDone(t.Num) {
 		return false // done, but not yet stored: without the entry it would run again
@@ -49,7 +49,7 @@
 	listed := make(map[taskKey]bool, len(m.doc.Tasks))
 	// Whatever is entered may be waiting for room: what ranks higher has it first.
 	grade := func(t state.Task) int {
-		if j := c.rep.jobs[t.Job]; j != nil {
+		if j := c.replica.jobs[t.Job]; j != nil {
 			return j.spec.Grade
 		}
 		return 0
@@ -65,12 +65,12 @@
 			listed[k] = true
 			// One that is being given up must not be launched again meanwhile: the
 			// same write may have put it elsewhere.
-			if !there && !rt.leaving[k] && launch && room.take(&c.rep.jobs[t.Job].spec) {
+			if !there && !rt.leaving[k] && launch && room.take(&c.replica.jobs[t.Job].spec) {
 				out = append(out, workers.Order{Op: workers.Launch, Task: k.task(), Attempt: t.Attempt})
 			}
 			continue
 		}
-		j := c.rep.jobs[t.Job]
+		j := c.replica.jobs[t.Job]
 		if j != nil && j.known && !j.done.Has(t.Num) {
 			listed[k] = true // not to be reaped before its end is stored
 			if there && p.State != workers.Ended {
@@ -135,7 +135,7 @@
 		}
 		// No answer: the command may be carried out at any time while token and
 		// session stand. The next write of the document raises the token.
-		rt.unclear, rt.unTok, rt.unSess = true, tok, sess
+		rt.unclear, rt.unclearToken, rt.unclearSession = true, tok, sess
 		c.dirty = true
 		c.log.Info("direct command unanswered, fencing", "machine", m.name, "token", tok)
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -40,7 +40,7 @@
 	owners := map[string]bool{}
 	mine := false
 	for _, n := range c.teamParts {
-		if p := c.rep.parts[n]; p != nil {
+		if p := c.replica.parts[n]; p != nil {
 			owners[p.doc.Member] = true
 		}
 		mine = mine || c.owned[n] != nil
@@ -52,10 +52,10 @@
 	return rate
 }
 
-// mayOwe reports whether what goes before the rest may still be written. Accepts
+// mayBorrow reports whether what goes before the rest may still be written. Accepts
 // and claims may run up a debt of one second's changes, which everything else has
 // to wait for.
-func (c *Core) mayOwe() bool { return c.tokens >= -c.cfg.Settings.State.WriteRPS }
+func (c *Core) mayBorrow() bool { return c.tokens >= -c.cfg.Settings.State.WriteRPS }
 
 func encode(v any) json.RawMessage {
 	b, err := json.Marshal(v)
@@ -83,8 +83,8 @@
 				c.apply(op.Set, op.Value, rev, false)
 			} else {
 				c.apply(op.Delete, nil, rev, true)
-				if rev > c.rep.watchRev {
-					c.rep.tombs[op.Delete] = rev
+				if rev > c.replica.watchRev {
+					c.replica.tombs[op.Delete] = rev
 				}
 			}
 		}
@@ -183,7 +183,7 @@
 	if c.stateBad {
 		again = 300 * units.Millisecond
 	}
-	if c.rep.synced && len(c.confirmQ) == 0 && c.now-c.confirmAt > again {
+	if c.replica.synced && len(c.confirmQ) == 0 && c.now-c.confirmAt > again {
 		c.confirmQ = append(c.confirmQ, confirm{then: func(bool) {}})
 	}
 }
@@ -192,7 +192,7 @@
 // the store's revision serves all that wait for it, and their answers can then
 // never be older than any answer given before.
 func (c *Core) confirmed(then func(ok bool)) {
-	if !c.rep.synced || c.stateBad && c.now-c.stateOK > 500*units.Millisecond {
+	if !c.replica.synced || c.stateBad && c.now-c.stateOK > 500*units.Millisecond {
 		then(false)
 		return
 	}
@@ -230,12 +230,12 @@
 
 // caughtUp releases what waited for the replica to reach a revision.
 func (c *Core) caughtUp() {
-	if !c.rep.synced {
+	if !c.replica.synced {
 		return
 	}
 	var due, rest []confirm
 	for _, w := range c.waitRev {
-		if w.rev <= c.rep.watchRev {
+		if w.rev <= c.replica.watchRev {
 			due = append(due, w)
 		} else {
 			rest = append(rest, w)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,8 +26,8 @@
 	wall units.Micros // time of day
 	out  []Effect
 
-	rep   *replica
-	dirty bool
+	replica *replica
+	dirty   bool
 
 	nextID     uint64
 	stateCalls map[uint64]func(state.Response)
@@ -36,12 +36,12 @@
 	timers     []timer
 
 	// Membership and claims.
-	incBase string
-	incN    int
-	inc     string
-	permit  uint64
-	knownAt units.Micros // the copy is known to have been complete then; 0: never
-	alive   bool         // registered, and as far as known still so
+	processID    string
+	incarnations int
+	incarnation  string
+	leaseID      uint64
+	knownAt      units.Micros // the copy is known to have been complete then; 0: never
+	alive        bool         // registered, and as far as known still so
 
 	entitledAt units.Micros // since when this process may act on its copy; 0: it may not
 
@@ -93,11 +93,11 @@
 
 // New returns a controller that knows nothing yet. inc must be unique among all
 // processes that ever run.
-func New(cfg *config.Config, pol *policy.Policy, log *slog.Logger, inc string) *Core {
+func New(cfg *config.Config, pol *policy.Policy, log *slog.Logger, incarnation string) *Core {
 	c := &Core{
 		cfg: cfg, pol: pol, log: log.With("node", cfg.Member),
 		stateCalls: map[uint64]func(state.Response){}, cloudCalls: map[uint64]func(CloudDone){}, cmdCalls: map[uint64]func(WorkerDone){},
-		incBase: inc, inc: inc, owned: map[int]*own{}, writing: map[string]bool{},
+		processID: incarnation, incarnation: incarnation, owned: map[int]*own{}, writing: map[string]bool{},
 		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*entry{}, zones: map[string]zoneState{}, written: map[string]int{},
 		cloud: newCloudState(), lastAt: map[string]units.Micros{}, classAverage: map[string]units.Micros{},
 	}
@@ -110,7 +110,7 @@
 	if len(c.teamParts) == 0 {
 		c.teamParts = []int{0}
 	}
-	c.rep = newReplica(state.LayoutFor(cfg.Settings.State.ValueKB, cfg.Settings.MostCPUs()), func(g int) int { return c.teamParts[g%len(c.teamParts)] })
+	c.replica = newReplica(state.LayoutFor(cfg.Settings.State.ValueKB, cfg.Settings.MostCPUs()), func(g int) int { return c.teamParts[g%len(c.teamParts)] })
 	return c
 }
 
@@ -159,7 +159,7 @@
 			switch m.Resp.Status {
 			case 200, 404, 409, 410:
 				c.stateOK, c.stateBad = c.now, false
-				c.rep.seenRev = max(c.rep.seenRev, m.Resp.Rev)
+				c.replica.seenRev = max(c.replica.seenRev, m.Resp.Rev)
 			case 0, 503:
 				c.stateBad = true
 			}
@@ -208,7 +208,7 @@
 	if c.every("summary", summaryEvery) {
 		c.summary()
 	}
-	if c.rep.synced {
+	if c.replica.synced {
 		c.provision()
 		if c.dirty || c.every("plan", 100*units.Millisecond) {
 			c.dirty = false
@@ -250,8 +250,8 @@
 // beat tells the others which machines this node hears, as evidence that a
 // machine lives, and whether it reaches the state service.
 func (c *Core) beat() {
-	b := peer.Beat{Member: c.cfg.Member, Inc: c.inc, StateOK: c.stateFine(), Heard: map[string]int64{}, Open: map[string][]string{}}
-	for name, m := range c.rep.machines {
+	b := peer.Beat{Member: c.cfg.Member, Inc: c.incarnation, StateOK: c.stateFine(), Heard: map[string]int64{}, Open: map[string][]string{}}
+	for name, m := range c.replica.machines {
 		if m.rt != nil && c.usable(m.part()) && c.takesWork(m) {
 			b.Open[name] = slices.Sorted(maps.Keys(m.rt.images))
 		}
@@ -271,7 +271,7 @@
 // summary tells the state in one line, so that a log can be read from anywhere.
 func (c *Core) summary() {
 	jobs, services, waiting, bound := 0, 0, 0, 0
-	for _, j := range c.rep.jobs {
+	for _, j := range c.replica.jobs {
 		if j.known && !j.cancelled {
 			jobs++
 			if j.spec.Service {
@@ -282,14 +282,14 @@
 		}
 	}
 	mine := 0
-	for _, m := range c.rep.machines {
+	for _, m := range c.replica.machines {
 		if m.rt != nil {
 			mine++
 		}
 	}
-	c.log.Info("summary", "partitions", c.ownedParts(), "rev", c.rep.watchRev, "state_ok", c.stateFine(),
+	c.log.Info("summary", "partitions", c.ownedParts(), "rev", c.replica.watchRev, "state_ok", c.stateFine(),
 		"jobs", jobs, "services", services, "tasks_waiting", waiting, "tasks_bound", bound,
-		"machines", len(c.rep.machines), "machines_mine", mine, "requests_open", len(c.open), "written", c.written)
+		"machines", len(c.replica.machines), "machines_mine", mine, "requests_open", len(c.open), "written", c.written)
 	c.written = map[string]int{}
 }
 
@@ -299,7 +299,7 @@
 // a reader can tell this commit's writes from all others.
 func (c *Core) mark() string {
 	c.markN++
-	return c.inc + "-" + strconv.FormatUint(c.markN, 36)
+	return c.incarnation + "-" + strconv.FormatUint(c.markN, 36)
 }
 
 func (c *Core) ownedParts() []int {
@@ -337,7 +337,7 @@
 // sortedMachines lists the machines in the order of their names: map order
 // would make runs differ.
 func (c *Core) sortedMachines() []*machine {
-	r := c.rep
+	r := c.replica
 	if r.byName == nil {
 		r.byName = slices.SortedFunc(maps.Values(r.machines), func(a, b *machine) int { return strings.Compare(a.name, b.name) })
 	}
@@ -346,7 +346,7 @@
 
 // sortedJobs lists the accepted jobs that are not over, the oldest first.
 func (c *Core) sortedJobs() []*job {
-	r := c.rep
+	r := c.replica
 	if r.byAge == nil {
 		r.byAge = make([]*job, 0, len(r.jobs))
 		for _, j := range r.jobs {
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -19,17 +19,17 @@
 // left over. Jobs of higher grade go first. With anywhere, the machines of all
 // partitions count for every job, as they do for what must be rented.
 func (c *Core) shortfalls(anywhere bool) []shortfall {
-	type hole struct {
+	type freeMachine struct {
 		m *machine
 		gap
 	}
-	gaps := map[int][]*hole{} // with something free
+	gaps := map[int][]*freeMachine{} // with something free
 	for _, m := range c.sortedMachines() {
 		t := c.machineType(m.doc.Type)
-		if t == nil || m.part() < 0 || m.rt != nil && (m.rt.noticed || m.rt.sick || m.rt.draining || m.rt.retire != "") {
+		if t == nil || m.part() < 0 || m.rt != nil && (m.rt.hasNotice || m.rt.suspect || m.rt.draining || m.rt.retire != "") {
 			continue
 		}
-		g := &hole{m, gap{t.CPUs, t.GPUs, t.MemGB}}
+		g := &freeMachine{m, gap{t.CPUs, t.GPUs, t.MemGB}}
 		for _, task := range m.doc.Tasks {
 			if j := c.unstored(task); j != nil {
 				g.fill(&j.spec, 1)
@@ -89,17 +89,17 @@
 	return out
 }
 
-// pressingAfter is how long a job may have tasks waiting, and none placed, before it
+// starvingAfter is how long a job may have tasks waiting, and none placed, before it
 // may use any room that it fits into, whatever that room is kept for: no job may wait
 // for 90 s beside a machine that could take it. What is kept free for others, left to
 // another partition, or about to be emptied, once stayed so for minutes.
-const pressingAfter = 30 * units.Second
+const starvingAfter = 30 * units.Second
 
 // ranOn is how long after its last failure a job whose tasks are active counts as well.
 const ranOn = 30 * units.Second
 
-// pressing lists the jobs that have waited for so long; it is to be called every second.
-func (c *Core) pressing() []*job {
+// starvingJobs lists the jobs that have waited for so long; it is to be called every second.
+func (c *Core) starvingJobs() []*job {
 	var out []*job
 	using := c.teamUsage()
 	for _, j := range c.sortedJobs() {
@@ -111,20 +111,20 @@
 			j.waitAt = 0
 		case j.waitAt == 0:
 			j.waitAt = c.now
-		case c.presses(j):
+		case c.starving(j):
 			out = append(out, j)
 		}
 	}
 	return out
 }
 
-// presses reports whether the job has waited for too long.
-func (c *Core) presses(j *job) bool { return c.waitedFor(j) > pressingAfter }
+// starving reports whether the job has waited for too long.
+func (c *Core) starving(j *job) bool { return c.waitedFor(j) > starvingAfter }
 
-// passedOver reports whether none of the job's tasks was placed for some seconds: the
+// overlooked reports whether none of the job's tasks was placed for some seconds: the
 // groups that arrays are to use are those with the most room, which may be of no use
 // to a job that is bound to a zone.
-func (c *Core) passedOver(j *job) bool { return c.waitedFor(j) > 5*units.Second }
+func (c *Core) overlooked(j *job) bool { return c.waitedFor(j) > 5*units.Second }
 
 // roomOn is what the tasks bound to a machine leave of it.
 func (c *Core) roomOn(m *machine, t *provision.Type) *gap {
@@ -155,8 +155,8 @@
 	return max(0, int((t.CPUsMax-used)/j.spec.CPUs+1e-9))
 }
 
-// passOn hands groups that are of no use here to the partition that lacks room.
-func (c *Core) passOn(b *batch) {
+// passUnusedGroups hands groups that are of no use here to the partition that lacks room.
+func (c *Core) passUnusedGroups(b *batch) {
 	if !c.every("pass"+strconv.Itoa(b.o.n), 500*units.Millisecond) {
 		return
 	}
@@ -179,7 +179,7 @@
 	}
 	passed := 0
 	for _, gd := range b.groups {
-		if !gd.own || gd.changed || c.now-gd.g.movedAt < passAgain || !b.room(gd) || lack[to] <= 0 || passed >= mostPassed || !c.unused(gd) {
+		if !gd.own || gd.changed || c.now-gd.g.movedAt < groupRestPeriod || !b.room(gd) || lack[to] <= 0 || passed >= maxGroupsPassed || !c.unused(gd) {
 			continue
 		}
 		passed++
@@ -194,14 +194,14 @@
 	}
 }
 
-// passAgain is how long a group stays where it was passed to. Two owners may each
+// groupRestPeriod is how long a group stays where it was passed to. Two owners may each
 // think that the other lacks room, since only the owner knows which jobs back off;
 // they once handed the same groups to and fro without end.
-const passAgain = 30 * units.Second
+const groupRestPeriod = 30 * units.Second
 
-// mostPassed is how many groups are passed on together: their machines take no
+// maxGroupsPassed is how many groups are passed on together: their machines take no
 // new work until their new commander has heard them.
-const mostPassed = 2
+const maxGroupsPassed = 2
 
 // unused reports whether a group has machines, and none of this partition's jobs
 // has a task there. Others' tasks may: a commander is not their placer.
@@ -211,7 +211,7 @@
 			return false
 		}
 		for _, t := range d.keep {
-			if j := c.rep.jobs[t.Job]; j != nil && j.known && j.part == gd.g.part {
+			if j := c.replica.jobs[t.Job]; j != nil && j.known && j.part == gd.g.part {
 				return false
 			}
 		}
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -93,8 +93,8 @@
 // beside it; zero if there is nothing to tell. It frees the task's part of its team's
 // limit, and tells the job's owner if that is another.
 func (c *Core) ran(m *machine, t *state.Task) int {
-	j := c.rep.jobs[t.Job]
-	if j == nil || !j.known || m.rt == nil || !j.extra[t.Num] {
+	j := c.replica.jobs[t.Job]
+	if j == nil || !j.known || m.rt == nil || !j.unstoredDone[t.Num] {
 		return 0
 	}
 	if c.owned[j.part] != nil {
@@ -103,13 +103,13 @@
 	return max(1, m.rt.ended[keyOf(*t)])
 }
 
-// tells reports whether the end of a task must be written down for another
+// mustRecordEnd reports whether the end of a task must be written down for another
 // controller, which owns its job, or since its team is at its limit.
-func (c *Core) tells(m *machine, t *state.Task, using map[string]*usage) bool {
+func (c *Core) mustRecordEnd(m *machine, t *state.Task, using map[string]*usage) bool {
 	if t.Ran > 0 || c.ran(m, t) == 0 {
 		return false
 	}
-	j := c.rep.jobs[t.Job]
+	j := c.replica.jobs[t.Job]
 	return c.owned[j.part] == nil || j.waiting() > 0 && c.quotaRoom(j, using) == 0
 }
 
@@ -122,7 +122,7 @@
 func (gd *groupDraft) takeBack() {
 	for _, d := range gd.drafts {
 		for _, t := range d.added {
-			if j := gd.c.rep.jobs[t.Job]; j != nil {
+			if j := gd.c.replica.jobs[t.Job]; j != nil {
 				if x, ok := j.bound[t.Num]; ok && x.m == d.m && x.attempt == t.Attempt && !d.m.lists(keyOf(t)) {
 					j.unbind(t.Num)
 				}
@@ -160,14 +160,14 @@
 // takesWork reports whether a machine of this node may be given tasks.
 func (c *Core) takesWork(m *machine) bool {
 	rt := m.rt
-	return rt.heardAt > 0 && c.now-rt.heardAt < 2*c.cfg.Settings.Report()+units.Second && !rt.noticed && !rt.sick && !rt.draining && rt.retire == "" && rt.unheard < deafAfter &&
+	return rt.heardAt > 0 && c.now-rt.heardAt < 2*c.cfg.Settings.Report()+units.Second && !rt.hasNotice && !rt.suspect && !rt.draining && rt.retire == "" && rt.unheardAnswers < deafAfter &&
 		rt.seen == c.token(m) && !rt.unclear && !c.mute(m)
 }
 
 // foreignOpen reports whether the owner of another partition's machine says
 // that it takes work, and which images are there.
 func (c *Core) foreignOpen(m *machine) ([]string, bool) {
-	p := c.rep.parts[m.g.part]
+	p := c.replica.parts[m.g.part]
 	if p == nil {
 		return nil, false
 	}
@@ -185,7 +185,7 @@
 // place, and each machine still has one commander.
 func (b *batch) open() {
 	c := b.c
-	for _, g := range c.rep.groups {
+	for _, g := range c.replica.groups {
 		if c.writing[g.key] {
 			continue
 		}
@@ -233,8 +233,8 @@
 	c := b.c
 	wait := map[*group][]string{}
 	for _, name := range slices.Sorted(maps.Keys(c.entering)) {
-		if c.entering[name].answered && c.rep.machines[name] == nil {
-			g := c.rep.groupOf(name)
+		if c.entering[name].answered && c.replica.machines[name] == nil {
+			g := c.replica.groupOf(name)
 			wait[g] = append(wait[g], name)
 		}
 	}
@@ -326,7 +326,7 @@
 // off the document, who takes over would find them.
 func (b *batch) bindAgain() {
 	for _, f := range b.freed {
-		if _, ok := f.j.bound[f.num]; !ok && b.c.rep.machines[f.was.m.name] == f.was.m && f.was.m.lists(taskKey{f.j.id, f.num, f.was.attempt}) {
+		if _, ok := f.j.bound[f.num]; !ok && b.c.replica.machines[f.was.m.name] == f.was.m && f.was.m.lists(taskKey{f.j.id, f.num, f.was.attempt}) {
 			f.j.bind(f.num, f.was)
 		}
 	}
@@ -361,7 +361,7 @@
 			if rt == nil || !b.room(gd) {
 				continue
 			}
-			if rt.unclear && rt.heardAt > 0 && c.now-rt.heardAt < c.cfg.Settings.Report()*2 && rt.unTok == c.token(d.m) {
+			if rt.unclear && rt.heardAt > 0 && c.now-rt.heardAt < c.cfg.Settings.Report()*2 && rt.unclearToken == c.token(d.m) {
 				d.fence = true
 				b.touch(gd)
 			}
@@ -369,7 +369,7 @@
 				continue
 			}
 			for i := range d.keep {
-				if c.tells(d.m, &d.keep[i], b.using) {
+				if c.mustRecordEnd(d.m, &d.keep[i], b.using) {
 					b.touch(gd)
 					break
 				}
@@ -382,7 +382,7 @@
 				kept[keyOf(t)] = true
 			}
 			for _, t := range d.m.doc.Tasks {
-				if j := c.rep.jobs[t.Job]; !kept[keyOf(t)] && j != nil && j.known && !j.done.Has(t.Num) {
+				if j := c.replica.jobs[t.Job]; !kept[keyOf(t)] && j != nil && j.known && !j.done.Has(t.Num) {
 					b.touch(gd)
 					break
 				}
--- a/internal/core/estimates_test.go
+++ b/internal/core/estimates_test.go
@@ -17,7 +17,7 @@
 	c := New(&config.Config{Member: "a", Settings: config.Settings{Size: 1, Teams: []config.Team{{Name: "red"}}}}, policy.Default(), slog.New(slog.NewTextHandler(io.Discard, nil)), "test")
 	c.now = units.Second
 	add := func(id, class string, estimateS float64, averageS float64) *job {
-		j := c.rep.job(id)
+		j := c.replica.job(id)
 		j.known, j.spec = true, state.Job{ID: id, Class: class, EstS: estimateS}
 		if averageS > 0 {
 			j.avg, j.avgOf = units.FromSeconds(averageS), 10
@@ -27,7 +27,7 @@
 	add("j-1", "long", 0, 50)
 	add("j-2", "long", 0, 70)
 	short := add("j-3", "short", 0, 5)
-	c.rep.byAge = nil
+	c.replica.byAge = nil
 	c.updateClassAverages()
 	for _, tc := range []struct {
 		j    *job
@@ -43,10 +43,10 @@
 		}
 	}
 	short.known = false
-	c.rep.byAge = nil
+	c.replica.byAge = nil
 	c.now += 2 * classAveragePeriod
 	c.updateClassAverages()
-	if got := c.borrowedAverage(c.rep.job("j-5")); got != 5*units.Second {
+	if got := c.borrowedAverage(c.replica.job("j-5")); got != 5*units.Second {
 		t.Errorf("the class's last average is forgotten: %v", got)
 	}
 }
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -8,8 +8,9 @@
 	"frostdock.example/frostdock/internal/units"
 )
 
-// flushEvery is how long a job's progress may wait for others while changes are
-// scarce. Nothing is reaped before its end is stored, so nothing is lost.
+// flushEvery is how long a job's progress may wait for others while changes are scarce,
+// or while tasks wait for a place. Nothing is reaped before its end is stored, so nothing
+// is lost.
 const flushEvery = 20 * units.Second
 
 // finishJobs stores ends and progress of the partition's jobs, and clears away
@@ -21,7 +22,7 @@
 		case j.cancelled && len(j.bound) == 0 && b.canClear(j):
 			b.clear(j)
 			key := state.Cancels + j.id
-			b.op(state.Op{Delete: key}, c.rep.stamps[key])
+			b.op(state.Op{Delete: key}, c.replica.stamps[key])
 		case !j.cancelled && j.doneCount() == j.spec.Tasks && b.canClear(j):
 			f := state.Final{Stage: Done, Done: j.spec.Tasks, Mark: b.mark}
 			// Whoever writes the end first decides between done and cancelled.
@@ -36,7 +37,7 @@
 	least := b.ops - b.ops/2 // the rest is for what waits to start
 	var open []*job
 	for _, j := range jobs {
-		if len(j.extra) == 0 || j.cancelled || j.doneCount() == j.spec.Tasks {
+		if len(j.unstoredDone) == 0 || j.cancelled || j.doneCount() == j.spec.Tasks {
 			continue
 		}
 		if j.flushAt == 0 {
@@ -44,7 +45,7 @@
 		}
 		open = append(open, j)
 		// What is not stored counts as gaps, and too many of them would stop the job.
-		if (c.now-j.flushAt >= every || len(j.extra) > maxHoles/2) && !b.packs.edited(j) && b.ops > least {
+		if (c.now-j.flushAt >= every || len(j.unstoredDone) > maxProgressGaps/2) && !b.packs.edited(j) && b.ops > least {
 			b.flush(j)
 		}
 	}
@@ -68,7 +69,7 @@
 // flush stores a job's progress.
 func (b *batch) flush(j *job) {
 	set := j.done
-	for n := range j.extra {
+	for n := range j.unstoredDone {
 		set = set.With(n)
 	}
 	avg, of := j.average()
@@ -88,7 +89,7 @@
 
 // canClear reports whether what clears a job away fits into the batch.
 func (b *batch) canClear(j *job) bool {
-	s := b.c.rep.shelfOf(j.id)
+	s := b.c.replica.shelfOf(j.id)
 	need, bytes := 1, 300
 	if b.cleared[s] == nil {
 		need++
@@ -100,7 +101,7 @@
 // clear removes a job that is over from its shelf. Its progress goes when its
 // document is next written; while changes are plenty, at once.
 func (b *batch) clear(j *job) {
-	s := b.c.rep.shelfOf(j.id)
+	s := b.c.replica.shelfOf(j.id)
 	if b.cleared[s] == nil {
 		b.cleared[s] = map[string]bool{}
 		b.ops--
@@ -133,10 +134,10 @@
 		return e
 	}
 	e := map[string]state.Done{}
-	if old := p.b.c.rep.packs[key]; old != nil {
+	if old := p.b.c.replica.packs[key]; old != nil {
 		p.sizes[key] = old.size
 		for id, d := range old.jobs {
-			if j := p.b.c.rep.jobs[id]; j != nil && j.known {
+			if j := p.b.c.replica.jobs[id]; j != nil && j.known {
 				e[id] = d
 			} else { // over
 				p.sizes[key] -= len(id) + len(d.Ranges)
@@ -201,7 +202,7 @@
 		if p.b.c.writing[key] || p.edits[key] != nil {
 			continue
 		}
-		old := p.b.c.rep.packs[key]
+		old := p.b.c.replica.packs[key]
 		if old == nil {
 			if cost+headBytes > most {
 				return "" // no value is large enough for it
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -157,8 +157,8 @@
 					break
 				}
 			}
-			if !c.usable(0) || len(c.rep.machines) != tc.machines {
-				t.Fatalf("owns %v, knows %d machines", c.ownedParts(), len(c.rep.machines))
+			if !c.usable(0) || len(c.replica.machines) != tc.machines {
+				t.Fatalf("owns %v, knows %d machines", c.ownedParts(), len(c.replica.machines))
 			}
 			if most := bytes/pageBytes + 1; o.asked[state.List] > most {
 				t.Errorf("%d pages of %d KB", o.asked[state.List], bytes>>10)
@@ -177,7 +177,7 @@
 				t.Errorf("%d calls of workers for %d machines", o.workers, tc.machines)
 			}
 			kept := func() (n int) {
-				for _, m := range c.rep.machines {
+				for _, m := range c.replica.machines {
 					if m.views[1].until > c.now {
 						n++
 					}
@@ -202,7 +202,7 @@
 // seldom together.
 func fill(o *outside, c *Core, machines, tasks, jobs int) {
 	rng := rand.New(rand.NewPCG(5, 6))
-	groups := make([]state.Group, len(c.rep.groups))
+	groups := make([]state.Group, len(c.replica.groups))
 	for i := range machines {
 		name := fmt.Sprintf("n-%06d", i)
 		m := state.Machine{Name: name, Addr: name, MachineKind: state.MachineKind{Type: "big", Zone: "a", Spot: i%4 == 0}}
@@ -210,13 +210,13 @@
 			j := rng.IntN(jobs)
 			m.Tasks = append(m.Tasks, state.Task{Job: fmt.Sprintf("j-%06d", j*577), Num: rng.IntN(400), Attempt: 3<<28 | uint64(rng.IntN(9000))})
 		}
-		g := c.rep.groupOf(name)
+		g := c.replica.groupOf(name)
 		groups[g.n].Machines = append(groups[g.n].Machines, m)
 	}
 	for n, g := range groups {
 		o.put(state.GroupKey(n), g)
 	}
-	shelves := make([]state.Shelf, len(c.rep.shelves))
+	shelves := make([]state.Shelf, len(c.replica.shelves))
 	for j := range jobs {
 		id := fmt.Sprintf("j-%06d", j*577)
 		n := state.ShelfOf(id, len(shelves))
--- a/internal/core/guarantee.go
+++ b/internal/core/guarantee.go
@@ -30,9 +30,9 @@
 	if !b.guaranteed[j] || !b.within(j.spec.Team, j.spec.CPUs, j.spec.GPUs) {
 		return false
 	}
-	hole := holeOf(j)
-	hole.recall = c.recallable(j)
-	if b.failed[hole] {
+	shape := shapeOf(j)
+	shape.recall = c.recallable(j)
+	if b.failed[shape] {
 		return false
 	}
 	found := c.preempt(b, j, n, false, victims{
@@ -41,9 +41,9 @@
 			// on, a change each time, while all others wait.
 			return v.spec.Team != j.spec.Team && (!v.spec.Service || v.spec.Grade <= j.spec.Grade) && !b.within(v.spec.Team, 0, 0)
 		},
-		maxLoss: hole.recall,
+		maxLoss: shape.recall,
 	})
-	b.failed[hole] = !found
+	b.failed[shape] = !found
 	return found
 }
 
@@ -54,7 +54,7 @@
 // half as long, or is pressing. When anything was stopped at once, a tenth of all CPU time
 // was lost that way.
 func (c *Core) recallable(j *job) units.Micros {
-	if c.presses(j) {
+	if c.starving(j) {
 		return math.MaxInt64
 	}
 	seconds := 2 * c.waitedFor(j) / units.Second
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -8,35 +8,35 @@
 // job is all that is known of a job that is not over. An entry also exists for
 // tasks on machines whose job is gone, until those machines are cleared.
 type job struct {
-	id        string
-	known     bool
-	spec      state.Job
-	done      state.Set
-	pack      *pack        // where its progress is stored, if any is
-	avg       units.Micros // stored average of finished tasks
-	avgOf     int          // and of how many
-	cancelled bool
-	bound     map[int]bind // by task number: where it may be
-	live      int          // of bound, those not known to be done; -1 when that must be counted
-	holding   int          // of bound, those whose end is not stored; counted with live
-	noted     map[int]bool // of bound, those whose end stands beside them in their machine's entry
-	part      int
+	id           string
+	known        bool
+	spec         state.Job
+	done         state.Set
+	pack         *pack        // where its progress is stored, if any is
+	avg          units.Micros // stored average of finished tasks
+	avgOf        int          // and of how many
+	cancelled    bool
+	bound        map[int]bind // by task number: where it may be
+	live         int          // of bound, those not known to be done; -1 when that must be counted
+	holding      int          // of bound, those whose end is not stored; counted with live
+	recordedDone map[int]bool // of bound, those whose end stands beside them in their machine's entry
+	part         int
 
 	// The owner's own knowledge, lost with it.
-	extra      map[int]bool // done on machines of this node, not yet stored
-	runSum     units.Micros // lengths of those
-	runCount   int
-	share      float64
-	failures   int
-	failedAt   units.Micros    // when it last failed
-	failedOn   map[string]bool // machines of this node on which it failed
-	wellOnce   bool            // one of its tasks completed
-	retryAt    units.Micros
-	observed   units.Micros // average with what running tasks have taken, and when it was worked out
-	observedAt units.Micros
-	flushAt    units.Micros // when its progress was last written
-	storedAs   string       // done, as it is stored
-	waitAt     units.Micros // since when tasks of it wait and none was placed; 0: none waits
+	unstoredDone map[int]bool // done on machines of this node, not yet stored
+	runSum       units.Micros // lengths of those
+	runCount     int
+	share        float64
+	failures     int
+	failedAt     units.Micros    // when it last failed
+	failedOn     map[string]bool // machines of this node on which it failed
+	succeeded    bool            // one of its tasks completed
+	retryAt      units.Micros
+	observed     units.Micros // average with what running tasks have taken, and when it was worked out
+	observedAt   units.Micros
+	flushAt      units.Micros // when its progress was last written
+	storedAs     string       // done, as it is stored
+	waitAt       units.Micros // since when tasks of it wait and none was placed; 0: none waits
 }
 
 type bind struct {
@@ -75,16 +75,16 @@
 }
 
 // stored reports whether the end of a task is stored, so that nobody starts it again.
-func (j *job) stored(n int) bool { return j.done.Has(n) || j.noted[n] }
+func (j *job) stored(n int) bool { return j.done.Has(n) || j.recordedDone[n] }
 
 // unbind notes that a task is free.
 func (j *job) unbind(n int) {
 	delete(j.bound, n)
-	delete(j.noted, n)
+	delete(j.recordedDone, n)
 	j.live = -1
 }
 
-func (j *job) isDone(n int) bool { return j.extra[n] || j.done.Has(n) }
+func (j *job) isDone(n int) bool { return j.unstoredDone[n] || j.done.Has(n) }
 
 // tidy drops an entry of which nothing is left.
 func (r *replica) tidy(j *job) {
@@ -96,10 +96,10 @@
 // completed notes a task that has completed, and how long it ran if that is
 // known.
 func (c *Core) completed(j *job, n int, ran units.Micros) {
-	if j.extra == nil {
-		j.extra = map[int]bool{}
+	if j.unstoredDone == nil {
+		j.unstoredDone = map[int]bool{}
 	}
-	j.extra[n], j.live = true, -1
+	j.unstoredDone[n], j.live = true, -1
 	if b, ok := j.bound[n]; ok {
 		b.m.touch()
 	}
@@ -120,17 +120,17 @@
 }
 
 func (j *job) doneCount() int {
-	return j.done.Len() + len(j.extra)
+	return j.done.Len() + len(j.unstoredDone)
 }
 
 // next is the first task from n on that is neither done nor bound, or -1.
 // Tasks are taken in order, so that the ranges of done ones stay few.
 func (j *job) next(n int) int {
 	last := j.spec.Tasks
-	if j.done.Ranges()+len(j.extra) > maxHoles {
+	if j.done.Ranges()+len(j.unstoredDone) > maxProgressGaps {
 		// What is stored must not become much longer; but filling gaps makes it shorter in
 		// the end, and without that a job with too many of them would never go on.
-		if j.active() >= maxHoles/4 {
+		if j.active() >= maxProgressGaps/4 {
 			return -1
 		}
 		last = j.done.End()
@@ -186,7 +186,7 @@
 		return
 	}
 	j.bound[n], j.live = b, -1
-	delete(j.noted, n)
+	delete(j.recordedDone, n)
 }
 
 // touch drops what is kept of the machines on which the job may run.
--- a/internal/core/layout_test.go
+++ b/internal/core/layout_test.go
@@ -57,13 +57,13 @@
 				}
 				msgs = next
 			}
-			if !c.rep.synced {
+			if !c.replica.synced {
 				t.Fatal("not loaded")
 			}
-			if got := (state.Layout{Groups: len(c.rep.groups), Shelves: len(c.rep.shelves)}); got != tc.want {
+			if got := (state.Layout{Groups: len(c.replica.groups), Shelves: len(c.replica.shelves)}); got != tc.want {
 				t.Errorf("%+v, want %+v", got, tc.want)
 			}
-			if tc.groups && c.rep.machines["n-000047"] == nil {
+			if tc.groups && c.replica.machines["n-000047"] == nil {
 				t.Error("the machine is not found")
 			}
 			if _, ok := o.keys[state.LayoutOf]; !ok {
--- a/internal/core/load.go
+++ b/internal/core/load.go
@@ -10,8 +10,8 @@
 // load reads everything under state.Active, then watches. It is the way in at
 // the start and whenever the watch has lost its place (410).
 func (c *Core) load() {
-	c.rep.synced = false
-	c.rep.watchN++
+	c.replica.synced = false
+	c.replica.watchN++
 	seen := map[string]bool{}
 	var base uint64
 	var page func(since string)
@@ -33,12 +33,12 @@
 				return
 			}
 			// What the list no longer has, and was not written since, is gone.
-			for key, stamp := range c.rep.stamps {
+			for key, stamp := range c.replica.stamps {
 				if !seen[key] && stamp <= base {
 					c.apply(key, nil, base, true)
 				}
 			}
-			if !c.rep.laidOut {
+			if !c.replica.laidOut {
 				c.writeLayout(base)
 				return
 			}
@@ -50,9 +50,9 @@
 
 // loaded begins to follow the store from the revision as of which the copy is complete.
 func (c *Core) loaded(rev uint64) {
-	c.rep.watchRev = rev
-	c.rep.synced = true
-	c.log.Info("replica loaded", "rev", rev, "jobs", len(c.rep.jobs), "machines", len(c.rep.machines))
+	c.replica.watchRev = rev
+	c.replica.synced = true
+	c.log.Info("replica loaded", "rev", rev, "jobs", len(c.replica.jobs), "machines", len(c.replica.machines))
 	c.watch()
 }
 
@@ -61,7 +61,7 @@
 func (c *Core) writeLayout(rev uint64) {
 	settings := &c.cfg.Settings
 	layout := state.LayoutFor(settings.State.ValueKB, settings.MostCPUs())
-	for key := range c.rep.stamps {
+	for key := range c.replica.stamps {
 		if strings.HasPrefix(key, state.Groups) {
 			layout = state.LayoutBefore(settings.State.ValueKB)
 		}
@@ -71,7 +71,7 @@
 		Guards: []state.Guard{{Key: state.LayoutOf}},
 		Apply:  []state.Op{{Set: state.LayoutOf, Value: encode(layout)}},
 	}
-	asLoaded := layout == state.Layout{Groups: len(c.rep.groups), Shelves: len(c.rep.shelves)}
+	asLoaded := layout == state.Layout{Groups: len(c.replica.groups), Shelves: len(c.replica.shelves)}
 	c.callState(state.Request{Kind: state.Commit, Txn: txn}, func(r state.Response) {
 		if r.Status != 200 || !asLoaded {
 			c.after(100*units.Millisecond, c.load)
@@ -89,7 +89,7 @@
 // cut its connection may be dead without an error, and when this node alone
 // was refused it waits as in an outage.
 func (c *Core) checkWatch() {
-	r := c.rep
+	r := c.replica
 	if !r.synced || r.seenRev <= r.watchRev {
 		r.behind = 0
 		return
@@ -105,11 +105,11 @@
 }
 
 func (c *Core) watch() {
-	c.rep.watchN++
-	n := c.rep.watchN
+	c.replica.watchN++
+	n := c.replica.watchN
 	opened := c.now
-	c.callState(state.Request{Kind: state.Watch, Key: state.Root, Rev: c.rep.watchRev, HoldMs: 10000}, func(resp state.Response) {
-		if n != c.rep.watchN {
+	c.callState(state.Request{Kind: state.Watch, Key: state.Root, Rev: c.replica.watchRev, HoldMs: 10000}, func(resp state.Response) {
+		if n != c.replica.watchN {
 			return
 		}
 		switch {
@@ -121,16 +121,16 @@
 					c.apply(e.Delete, nil, e.Stamp, true)
 				}
 			}
-			if resp.Rev > c.rep.watchRev {
-				c.rep.watchRev = resp.Rev
+			if resp.Rev > c.replica.watchRev {
+				c.replica.watchRev = resp.Rev
 			}
-			for k, rev := range c.rep.tombs {
-				if rev <= c.rep.watchRev {
-					delete(c.rep.tombs, k)
+			for k, rev := range c.replica.tombs {
+				if rev <= c.replica.watchRev {
+					delete(c.replica.tombs, k)
 				}
 			}
 			c.caughtUp()
-			if len(resp.News) == 0 && resp.Rev < c.rep.seenRev {
+			if len(resp.News) == 0 && resp.Rev < c.replica.seenRev {
 				c.after(100*units.Millisecond, func() { c.rewatch(n) }) // refused: it tells nothing
 				return
 			}
@@ -147,7 +147,7 @@
 
 // rewatch goes on after watch n unless another has been opened.
 func (c *Core) rewatch(n int) {
-	if n == c.rep.watchN && c.rep.synced {
+	if n == c.replica.watchN && c.replica.synced {
 		c.watch()
 	}
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -57,31 +57,31 @@
 
 	launchAt units.Micros // when a report was last answered with a launch, and no later report has come; 0: none
 
-	out     int    // direct commands without an answer yet
-	unclear bool   // a direct command got no answer: it may be carried out late
-	unTok   uint64 // under this token
-	unSess  uint64 // in this session
-
-	pieces   map[taskKey]workers.Piece
-	runs     map[taskKey]runMark
-	images   map[string]units.Micros
-	noticed  bool
-	noticeAt units.Micros
-	ended    map[taskKey]int // tasks seen to complete: 1 plus the tenths of a second that each ran
-	errors   map[string]bool // jobs with a task that failed here
-	toldTok  uint64          // token of the latest answer
-	unheard  int             // reports in a row that show that answers do not arrive
-	probing  bool
-	probeAt  units.Micros
-	probeBad units.Micros // when a probe last failed
-	failed   int          // probes in a row that failed, with no report between
-	sick     bool
-	sickAt   units.Micros // since when
-	idleAt   units.Micros
-	leaving  map[taskKey]bool // entries that a write under way takes off the document
-	draining bool             // takes no new work, so that it can be given back
-	urgent   bool             // it is deleted before that is written down
-	retire   string           // why it is to be given back; empty: it is not
+	out            int    // direct commands without an answer yet
+	unclear        bool   // a direct command got no answer: it may be carried out late
+	unclearToken   uint64 // under this token
+	unclearSession uint64 // in this session
+
+	pieces         map[taskKey]workers.Piece
+	runs           map[taskKey]runMark
+	images         map[string]units.Micros
+	hasNotice      bool
+	noticeEnds     units.Micros
+	ended          map[taskKey]int // tasks seen to complete: 1 plus the tenths of a second that each ran
+	errors         map[string]bool // jobs with a task that failed here
+	answeredToken  uint64          // token of the latest answer
+	unheardAnswers int             // reports in a row that show that answers do not arrive
+	probing        bool
+	probeAt        units.Micros
+	probeBad       units.Micros // when a probe last failed
+	failed         int          // probes in a row that failed, with no report between
+	suspect        bool
+	suspectSince   units.Micros // since when
+	idleAt         units.Micros
+	leaving        map[taskKey]bool // entries that a write under way takes off the document
+	draining       bool             // takes no new work, so that it can be given back
+	urgent         bool             // it is deleted before that is written down
+	retire         string           // why it is to be given back; empty: it is not
 }
 
 type runMark struct {
@@ -110,7 +110,7 @@
 // token strictly grows with every handover of the machine and every take-over
 // of its partition.
 func (c *Core) token(m *machine) uint64 {
-	p := c.rep.parts[m.g.part]
+	p := c.replica.parts[m.g.part]
 	if p == nil {
 		return 0
 	}
@@ -169,7 +169,7 @@
 
 // live is the job of a bound task that is not known to be done, or nil.
 func (c *Core) live(t state.Task) *job {
-	if j := c.rep.jobs[t.Job]; j != nil && j.known && !j.isDone(t.Num) {
+	if j := c.replica.jobs[t.Job]; j != nil && j.known && !j.isDone(t.Num) {
 		return j
 	}
 	return nil
@@ -178,7 +178,7 @@
 // unstored is the job of a bound task whose end is not stored yet, or nil. It
 // says the same on every controller.
 func (c *Core) unstored(t state.Task) *job {
-	if j := c.rep.jobs[t.Job]; j != nil && j.known && !j.done.Has(t.Num) {
+	if j := c.replica.jobs[t.Job]; j != nil && j.known && !j.done.Has(t.Num) {
 		return j
 	}
 	return nil
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -41,12 +41,12 @@
 func (b *batch) choose(j *job) *draft {
 	var best *draft
 	bestScore := math.Inf(-1)
-	presses, passed := b.c.presses(j), b.c.passedOver(j)
+	starving, passed := b.c.starving(j), b.c.overlooked(j)
 	for _, d := range b.drafts {
 		if !d.fits(j) || !b.room(d.gd) || !b.c.allowed(j, d.m) {
 			continue
 		}
-		if !j.spec.Service && !presses && b.keptFrom(j, d, passed) {
+		if !j.spec.Service && !starving && b.keptFrom(j, d, passed) {
 			continue
 		}
 		if score := b.score(j, d); score > bestScore {
@@ -60,11 +60,11 @@
 // not among those of this batch, the jobs of its own partition wait for the room, or the
 // machine is kept free for another job.
 func (b *batch) keptFrom(j *job, d *draft, passed bool) bool {
-	if b.picked && !passed && !d.gd.picked && !d.gd.changed || b.spoken(d.gd) {
+	if b.picked && !passed && !d.gd.picked && !d.gd.changed || b.claimedByOwner(d.gd) {
 		return true
 	}
-	held := b.o.held[d.m.name].job
-	return held != "" && held != j.id
+	reservedFor := b.o.reservedFor[d.m.name].job
+	return reservedFor != "" && reservedFor != j.id
 }
 
 // What speaks for a machine, in CPUs of free room that would weigh as much.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -20,12 +20,12 @@
 	packs      *packing
 	using      map[string]*usage
 	saved      []savedRuns
-	busy       map[int]bool     // partitions with waiting tasks of their own
-	failed     map[holeKey]bool // what found no room in this batch, even by preemption
-	guaranteed map[*job]bool    // jobs within their teams' guarantees
-	picked     bool             // arrays go to some groups only
-	attempt    uint64           // of what is placed in this batch; 0: nothing yet
-	freed      []freedTask      // off machines that are gone
+	busy       map[int]bool       // partitions with waiting tasks of their own
+	failed     map[taskShape]bool // what found no room in this batch, even by preemption
+	guaranteed map[*job]bool      // jobs within their teams' guarantees
+	picked     bool               // arrays go to some groups only
+	attempt    uint64             // of what is placed in this batch; 0: nothing yet
+	freed      []freedTask        // off machines that are gone
 }
 
 // freedTask is a task whose machine this batch drops, and where it was.
@@ -45,23 +45,23 @@
 type usage struct{ cpus, gpus float64 }
 
 const (
-	taskBytes  = 26 // an upper estimate of one task in a document
-	headBytes  = 200
-	txnBytes   = 56 << 10
-	restFor    = 35 * units.Second // a service that started stays at least so long
-	lastMoment = 3 * units.Second  // for a stop to be stored and carried out before a machine is taken
-	keepTokens = 4                 // changes kept back for accepts, cancels and services
-	maxHoles   = 200
-	minAverage = units.Second
-	firstGuess = 30 * units.Second // average task time while no job has shown any
-	planCost   = 120               // a plan is made at most once in so many microseconds for each machine and job
+	taskBytes       = 26 // an upper estimate of one task in a document
+	headBytes       = 200
+	txnBytes        = 56 << 10
+	minServiceRun   = 35 * units.Second // a service that started stays at least so long
+	stopLeadTime    = 3 * units.Second  // for a stop to be stored and carried out before a machine is taken
+	reservedTokens  = 4                 // changes kept back for accepts, cancels and services
+	maxProgressGaps = 200
+	minAverage      = units.Second
+	firstGuess      = 30 * units.Second // average task time while no job has shown any
+	planCost        = 120               // a plan is made at most once in so many microseconds for each machine and job
 )
 
 // plan decides for one partition and writes what it decided; only when that is
 // stored are the machines told.
 func (c *Core) plan(p int) {
 	o := c.owned[p]
-	if o == nil || o.inflight || !c.usable(p) || c.stateBad || c.now < o.pauseTo || c.rep.watchRev < o.needRev || c.tokens < 2 || len(c.cloud.types) == 0 {
+	if o == nil || o.inflight || !c.usable(p) || c.stateBad || c.now < o.pauseTo || c.replica.watchRev < o.needRev || c.tokens < 2 || len(c.cloud.types) == 0 {
 		return
 	}
 	// A plan looks at everything, so the larger the fleet, the rarer it is.
@@ -69,10 +69,10 @@
 		c.dirty = true
 		return
 	}
-	o.planAt = c.now + planCost*units.Micros(len(c.rep.machines)+len(c.rep.jobs))
+	o.planAt = c.now + planCost*units.Micros(len(c.replica.machines)+len(c.replica.jobs))
 	b := &batch{
 		c: c, o: o, mark: c.mark(), using: c.teamUsage(), size: txnBytes,
-		busy: map[int]bool{}, cleared: map[*shelf]map[string]bool{}, failed: map[holeKey]bool{},
+		busy: map[int]bool{}, cleared: map[*shelf]map[string]bool{}, failed: map[taskShape]bool{},
 	}
 	b.packs = newPacking(b)
 	b.ops = min(c.cfg.Settings.State.TxnOps, int(c.tokens)-1) // one is kept back for accepts
@@ -89,10 +89,10 @@
 	c.finishJobs(b, jobs)
 	c.evacuate(b)
 	b.releases()
-	if c.tokens > keepTokens {
-		b.ops = min(b.ops, int(c.tokens)-keepTokens)
+	if c.tokens > reservedTokens {
+		b.ops = min(b.ops, int(c.tokens)-reservedTokens)
 		c.placeArrays(b, jobs)
-		c.passOn(b)
+		c.passUnusedGroups(b)
 		c.moveServices(b)
 	}
 	b.write()
@@ -156,10 +156,10 @@
 	c, o := b.c, b.o
 	txn := &state.Txn{Guards: append([]state.Guard{{Key: state.PartKey(o.n), Stamp: o.stamp}}, b.guards...), Apply: b.finals}
 	set := func(key string, doc any) {
-		txn.Guards = append(txn.Guards, state.Guard{Key: key, Stamp: c.rep.stamps[key]})
+		txn.Guards = append(txn.Guards, state.Guard{Key: key, Stamp: c.replica.stamps[key]})
 		txn.Apply = append(txn.Apply, state.Op{Set: key, Value: encode(doc)})
 	}
-	for _, s := range c.rep.shelves {
+	for _, s := range c.replica.shelves {
 		if less := b.cleared[s]; less != nil {
 			doc := c.shelfDoc(s, less)
 			doc.Mark = b.mark
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		for n := range h.names {
-			if c.rep.machines[n] != nil {
+			if c.replica.machines[n] != nil {
 				delete(h.names, n)
 			}
 		}
@@ -96,7 +96,7 @@
 		}
 	}
 	for name, l := range c.cloud.listed { // rented by a predecessor, or there from the start
-		if _, late := c.cloud.strayAt[name]; !late && l.State != provision.Failed && !c.rep.ever[name] && !c.hireHas(name) {
+		if _, late := c.cloud.strayAt[name]; !late && l.State != provision.Failed && !c.replica.ever[name] && !c.hireHas(name) {
 			add(l.Type, l.Spot, 1)
 		}
 	}
@@ -164,7 +164,7 @@
 // spot machines.
 func (c *Core) displaceable() float64 {
 	sum := 0.0
-	for _, m := range c.rep.machines {
+	for _, m := range c.replica.machines {
 		if m.doc.Spot || m.doc.Retired {
 			continue
 		}
@@ -183,7 +183,7 @@
 	k := &c.cloud
 	settle := units.FromSeconds(2*c.cfg.Settings.Cloud.ListLagS) + 2*units.Second
 	// A new keeper first learns what its predecessor rented.
-	if c.now-k.chargeAt < settle && k.chargeAt > 3*units.Second && len(c.rep.machines) > 0 {
+	if c.now-k.chargeAt < settle && k.chargeAt > 3*units.Second && len(c.replica.machines) > 0 {
 		return
 	}
 	if k.listAt == 0 {
@@ -208,9 +208,9 @@
 		lack := int(math.Ceil(*need / cpus))
 		// Where few calls are allowed each asks for more: four machines a second took
 		// most of a minute to rent a fleet that was wanted at once.
-		h.Count = min(lack, mostHired, max(c.pol.HireMost, len(c.rep.machines)/hirePart, lack/(hireRounds*max(1, permitted))))
+		h.Count = min(lack, mostHired, max(c.pol.HireMost, len(c.replica.machines)/hirePart, lack/(hireRounds*max(1, permitted))))
 		k.hireN++
-		h.Name = "r-" + c.inc + "-" + strconv.Itoa(k.hireN)
+		h.Name = "r-" + c.incarnation + "-" + strconv.Itoa(k.hireN)
 		c.log.Info("hire", "request", h.Name, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "unmet_cpus", *need)
 		*need -= float64(h.Count) * cpus
 		k.hires[h.Name] = &hire{req: *h, at: c.now}
@@ -297,7 +297,7 @@
 // markBase notes, once and for all, the first machine that was rented: those
 // before it were there from the start, and services go there first.
 func (c *Core) markBase(names []string) {
-	if c.rep.base != nil || len(names) == 0 {
+	if c.replica.base != nil || len(names) == 0 {
 		return
 	}
 	doc := state.BaseDoc{First: slices.Min(names), Mark: c.mark()}
@@ -306,7 +306,7 @@
 }
 
 // rented reports whether the machine was rented by this service.
-func (c *Core) rented(name string) bool { return c.rep.base != nil && name >= c.rep.base.First }
+func (c *Core) rented(name string) bool { return c.replica.base != nil && name >= c.replica.base.First }
 
 func (c *Core) hireHas(name string) bool {
 	for _, h := range c.cloud.hires {
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -118,7 +118,7 @@
 // apply takes one change, in any order: an older one than what is known is
 // passed over, since the node's own commits run ahead of the watch.
 func (c *Core) apply(key string, val json.RawMessage, stamp uint64, deleted bool) {
-	r := c.rep
+	r := c.replica
 	if strings.HasPrefix(key, state.Finals) {
 		if !deleted {
 			var f state.Final
@@ -176,9 +176,9 @@
 // applyNode notes a controller's registration, or its end.
 func (c *Core) applyNode(key string, deleted bool) {
 	if deleted {
-		delete(c.rep.nodes, key)
-	} else if _, ok := c.rep.nodes[key]; !ok {
-		c.rep.nodes[key] = c.now
+		delete(c.replica.nodes, key)
+	} else if _, ok := c.replica.nodes[key]; !ok {
+		c.replica.nodes[key] = c.now
 	}
 }
 
@@ -190,7 +190,7 @@
 	}
 	var doc state.Part
 	if c.decode(key, val, &doc) {
-		c.rep.parts[n] = &part{stamp: stamp, doc: doc}
+		c.replica.parts[n] = &part{stamp: stamp, doc: doc}
 		c.ownership(n)
 	}
 }
@@ -198,25 +198,25 @@
 // applyLayout takes the store's layout, once.
 func (c *Core) applyLayout(key string, val json.RawMessage, deleted bool) {
 	var doc state.Layout
-	if !deleted && !c.rep.laidOut && c.decode(key, val, &doc) && doc.Groups > 0 && doc.Shelves > 0 {
-		c.rep.layOut(doc)
-		c.rep.laidOut = true
+	if !deleted && !c.replica.laidOut && c.decode(key, val, &doc) && doc.Groups > 0 && doc.Shelves > 0 {
+		c.replica.layOut(doc)
+		c.replica.laidOut = true
 	}
 }
 
 // applyCancel notes that a job is cancelled, or that it is cleared away.
 func (c *Core) applyCancel(id string, deleted bool) {
-	j := c.rep.job(id)
+	j := c.replica.job(id)
 	j.cancelled = !deleted
 	j.touch()
 	if deleted {
-		c.rep.tidy(j)
+		c.replica.tidy(j)
 	}
 }
 
 // applyShelf takes a shelf's new contents; none when it was deleted.
 func (c *Core) applyShelf(s *shelf, val json.RawMessage) {
-	r := c.rep
+	r := c.replica
 	var doc state.Shelf
 	if len(val) > 0 && !c.decode(s.key, val, &doc) {
 		return
@@ -247,7 +247,7 @@
 
 // applyPack takes a progress document's new contents; none when it was deleted.
 func (c *Core) applyPack(key string, val json.RawMessage) {
-	r := c.rep
+	r := c.replica
 	var doc state.Pack
 	if len(val) > 0 && !c.decode(key, val, &doc) {
 		return
@@ -276,9 +276,9 @@
 		j.live = -1
 		j.touch()
 		j.done, j.storedAs, j.avg, j.avgOf = set, d.Ranges, units.FromSeconds(d.AvgS), d.Of
-		for n := range j.extra {
+		for n := range j.unstoredDone {
 			if set.Has(n) {
-				delete(j.extra, n)
+				delete(j.unstoredDone, n)
 			}
 		}
 	}
@@ -295,7 +295,7 @@
 
 // applyGroup takes a group's new contents.
 func (c *Core) applyGroup(g *group, val json.RawMessage, stamp uint64) {
-	r := c.rep
+	r := c.replica
 	var doc state.Group
 	if !c.decode(g.key, val, &doc) {
 		return
@@ -332,11 +332,11 @@
 // unbind takes what the machine's entry lists off the jobs.
 func (c *Core) unbind(m *machine) {
 	for _, t := range m.doc.Tasks {
-		j := c.rep.job(t.Job)
+		j := c.replica.job(t.Job)
 		if b, ok := j.bound[t.Num]; ok && b.m == m && b.attempt == t.Attempt {
 			j.unbind(t.Num)
 		}
-		c.rep.tidy(j)
+		c.replica.tidy(j)
 	}
 }
 
@@ -350,16 +350,16 @@
 		m.touch()
 		m.noteEntered(c.now)
 		for _, t := range doc.Tasks {
-			j := c.rep.job(t.Job)
+			j := c.replica.job(t.Job)
 			j.bind(t.Num, bind{m, t.Attempt})
 			if t.Ran > 0 && !j.isDone(t.Num) {
 				c.completed(j, t.Num, units.Micros(t.Ran-1)*100*units.Millisecond)
 			}
 			if b := j.bound[t.Num]; t.Ran > 0 && b.m == m && b.attempt == t.Attempt {
-				if j.noted == nil {
-					j.noted = map[int]bool{}
+				if j.recordedDone == nil {
+					j.recordedDone = map[int]bool{}
 				}
-				j.noted[t.Num], j.live = true, -1
+				j.recordedDone[t.Num], j.live = true, -1
 			}
 		}
 		if !moved && own == nil {
@@ -400,7 +400,7 @@
 // that fails everywhere would be placed on others' machines without end.
 func (c *Core) missed(old state.Tasks) {
 	for _, t := range old {
-		j := c.rep.jobs[t.Job]
+		j := c.replica.jobs[t.Job]
 		if j == nil || !j.known || j.cancelled || t.Stop > 0 || j.isDone(t.Num) || c.owned[j.part] == nil {
 			continue
 		}
--- a/internal/core/replica_test.go
+++ b/internal/core/replica_test.go
@@ -25,7 +25,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.apply(c.rep.groupOf(machine).key, raw, stamp, false)
+		c.apply(c.replica.groupOf(machine).key, raw, stamp, false)
 	}
 	first := state.Task{Job: "j-000001", Num: 3, Attempt: 1<<28 | 5}
 	second := state.Task{Job: "j-000001", Num: 3, Attempt: 1<<28 | 9}
@@ -33,12 +33,12 @@
 	group(140, "n-000060", second) // read late
 	group(110, "n-000010", first)  // the watch catches up
 	group(120, "n-000010")
-	b, ok := c.rep.jobs["j-000001"].bound[3]
+	b, ok := c.replica.jobs["j-000001"].bound[3]
 	if !ok || b.m.name != "n-000060" || b.attempt != second.Attempt {
 		t.Fatalf("bound: %v, to %+v", ok, b)
 	}
 	group(150, "n-000060")
-	if j := c.rep.jobs["j-000001"]; j != nil && len(j.bound) > 0 {
+	if j := c.replica.jobs["j-000001"]; j != nil && len(j.bound) > 0 {
 		t.Errorf("still bound: %+v", j.bound)
 	}
 }
@@ -60,7 +60,7 @@
 		j.bind(n, bind{m, 1})
 		started++
 	}
-	if started == 0 || started > maxHoles {
+	if started == 0 || started > maxProgressGaps {
 		t.Errorf("%d tasks are started", started)
 	}
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -13,11 +13,11 @@
 // report answers a worker.
 func (c *Core) report(q ReportReq) {
 	r := &q.Report
-	if !c.rep.synced || r.Machine == "" {
+	if !c.replica.synced || r.Machine == "" {
 		c.reply(q.To, 503, nil)
 		return
 	}
-	m := c.rep.machines[r.Machine]
+	m := c.replica.machines[r.Machine]
 	if m == nil {
 		c.newcomer(q)
 		return
@@ -44,7 +44,7 @@
 	}
 	if r.Newer(m.rt.session, m.rt.seq) { // a late copy is no sign of life
 		c.heard[r.Machine] = c.now
-		c.listens(m, r, tok)
+		c.checkReachable(m, r, tok)
 		if c.now-m.rt.answered > c.cfg.Settings.Lease() {
 			m.rt.steady = c.now
 		}
@@ -65,28 +65,28 @@
 // were lost. Fewer may be the luck of a bad network.
 const deafAfter = 3
 
-// listens notices a machine whose reports arrive while nothing reaches it: it
+// checkReachable notices a machine whose reports arrive while nothing reaches it: it
 // looks alive, but its lease runs out and takes its tasks with it, and what it
 // is told to stop goes on until then.
-func (c *Core) listens(m *machine, r *workers.Report, tok uint64) {
+func (c *Core) checkReachable(m *machine, r *workers.Report, tok uint64) {
 	rt := m.rt
 	switch {
 	case rt.session > 0 && r.Session > rt.session && c.now-rt.answered < c.cfg.Settings.Lease() && c.now-rt.steady > c.cfg.Settings.Lease():
 		// Its lease ran out though its reports came, and were answered, for all that
 		// time. After a cut they may come all at once, or only the new session, which
 		// says nothing.
-		rt.unheard = deafAfter
+		rt.unheardAnswers = deafAfter
 	case r.Token >= tok:
-		rt.unheard = 0
-	case rt.toldTok == tok:
-		rt.unheard++ // an earlier answer had this token, and it has not seen it
+		rt.unheardAnswers = 0
+	case rt.answeredToken == tok:
+		rt.unheardAnswers++ // an earlier answer had this token, and it has not seen it
 	}
-	rt.toldTok = tok
+	rt.answeredToken = tok
 }
 
 // ownerOf names the member that owns a partition, if it lives and is another.
 func (c *Core) ownerOf(part int) string {
-	if p := c.rep.parts[part]; p != nil && c.ownerAlive(p) && p.doc.Member != c.cfg.Member {
+	if p := c.replica.parts[part]; p != nil && c.ownerAlive(p) && p.doc.Member != c.cfg.Member {
 		return p.doc.Member
 	}
 	return ""
@@ -99,7 +99,7 @@
 func (c *Core) newcomer(q ReportReq) {
 	r := &q.Report
 	c.heard[r.Machine] = c.now
-	g := c.rep.groupOf(r.Machine)
+	g := c.replica.groupOf(r.Machine)
 	if c.owned[g.part] == nil {
 		c.reply(q.To, 421, workers.Redirect{To: c.ownerOf(g.part)})
 		return
@@ -109,7 +109,7 @@
 		return
 	}
 	if e := c.entering[r.Machine]; e != nil { // it came back: the earlier request is no longer waited for
-		c.letGo(e)
+		c.dismiss(e)
 		e.q, e.at, e.waits = q, c.now, true
 		return
 	}
@@ -122,7 +122,7 @@
 		}
 		if d.Report == nil || d.Report.Machine != r.Machine {
 			delete(c.entering, r.Machine)
-			c.letGo(e)
+			c.dismiss(e)
 			return
 		}
 		e.answered = true
@@ -149,8 +149,8 @@
 	entryKept = 20 * units.Second
 )
 
-// letGo answers a newcomer's report that is still waiting: it may come again.
-func (c *Core) letGo(e *entry) {
+// dismiss answers a newcomer's report that is still waiting: it may come again.
+func (c *Core) dismiss(e *entry) {
 	if e.waits {
 		e.waits = false
 		c.reply(e.q.To, 503, nil)
@@ -162,7 +162,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.entering)) {
 		e := c.entering[name]
 		switch {
-		case c.rep.machines[name] != nil:
+		case c.replica.machines[name] != nil:
 			delete(c.entering, name)
 			if e.waits {
 				c.report(e.q)
@@ -170,7 +170,7 @@
 		case c.now-e.at > entryKept:
 			delete(c.entering, name)
 		case c.now-e.at > entryWait:
-			c.letGo(e)
+			c.dismiss(e)
 		}
 	}
 }
@@ -196,11 +196,11 @@
 	l := c.cfg.Settings.Lease()
 	rt.leaseEnd = max(rt.leaseEnd, c.now+l+leaseMargin(l))
 	rt.seen = max(rt.seen, r.Token)
-	if rt.unclear && (r.Token > rt.unTok || r.Session > rt.unSess) {
+	if rt.unclear && (r.Token > rt.unclearToken || r.Session > rt.unclearSession) {
 		rt.unclear = false
 	}
-	if r.NoticeS != nil && !rt.noticed {
-		rt.noticed, rt.noticeAt = true, c.now+units.FromSeconds(*r.NoticeS)
+	if r.NoticeS != nil && !rt.hasNotice {
+		rt.hasNotice, rt.noticeEnds = true, c.now+units.FromSeconds(*r.NoticeS)
 		c.log.Info("machine to be taken back", "machine", m.name, "in_s", *r.NoticeS)
 	}
 	old := rt.pieces
@@ -213,7 +213,7 @@
 		}
 		k := taskKey{id, n, p.Attempt}
 		rt.pieces[k] = p
-		j := c.rep.jobs[id]
+		j := c.replica.jobs[id]
 		if p.State == workers.Running || p.State == workers.Flushing {
 			if j != nil && j.known {
 				rt.images[j.spec.Image] = c.now
@@ -249,9 +249,9 @@
 		}
 		j.failures = 0
 		blamed := c.faulty(j)
-		j.wellOnce = true
+		j.succeeded = true
 		if blamed { // it was not its own fault
-			c.blame(j)
+			c.judgeMachinesOf(j)
 		}
 		// Only a task seen from start to end tells its length; and only tasks
 		// that completed: failed ones end in seconds and would make the job
@@ -271,7 +271,7 @@
 			j.failedOn = map[string]bool{}
 		}
 		j.failedOn[m.name] = true
-		c.blame(j)
+		c.judgeMachinesOf(j)
 		c.log.Info("task failed", "task", k.task(), "machine", m.name, "failures", j.failures)
 	default:
 		c.log.Debug("task ended", "task", k.task(), "machine", m.name, "cause", p.Cause)
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -35,7 +35,7 @@
 		c.log.Info("machines gone", "machines", names)
 		c.dirty = true
 		for _, n := range names {
-			if m := c.rep.machines[n]; m != nil {
+			if m := c.replica.machines[n]; m != nil {
 				m.gone = true // the next write of its group drops it
 			}
 		}
@@ -62,13 +62,13 @@
 
 // At most so many machines are emptied together, and returned for being idle in
 // one second: a few of a small fleet, a small part of a large one.
-func (c *Core) mostEmptied() int { return max(2, len(c.rep.machines)/20) }
+func (c *Core) mostEmptied() int { return max(2, len(c.replica.machines)/20) }
 
-func (c *Core) mostReturned() int { return max(1, len(c.rep.machines)/50) }
+func (c *Core) mostReturned() int { return max(1, len(c.replica.machines)/50) }
 
 // consolidate chooses machines that are little used to be emptied, as far
 // as the free room elsewhere takes what is on them and leaves some for newcomers.
-func (c *Core) consolidate(waiting bool, pressing []*job) {
+func (c *Core) consolidate(waiting bool, starvingJobs []*job) {
 	type candidate struct {
 		m     *machine
 		t     *provision.Type
@@ -92,7 +92,7 @@
 			}
 			continue
 		}
-		wanted := c.takes(m, g, pressing)
+		wanted := c.takes(m, g, starvingJobs)
 		if waiting || wanted {
 			m.rt.draining = false
 		}
@@ -125,7 +125,7 @@
 }
 
 // returnIdle gives back machines that have nothing to do, the dearest first.
-func (c *Core) returnIdle(waiting bool, pressing []*job) {
+func (c *Core) returnIdle(waiting bool, starvingJobs []*job) {
 	var idle []*machine
 	price := func(m *machine) float64 { return c.machineType(m.doc.Type).Rate(m.doc.Spot) }
 	for _, m := range c.sortedMachines() {
@@ -135,7 +135,7 @@
 		}
 		used := slices.ContainsFunc(m.doc.Tasks, func(t state.Task) bool { return c.unstored(t) != nil })
 		// One that is not heard may be cut off, and is not idle for sure.
-		if used || waiting || c.now-m.rt.heardAt > 2*c.cfg.Settings.Report() || len(pressing) > 0 && c.takes(m, c.roomOn(m, t), pressing) {
+		if used || waiting || c.now-m.rt.heardAt > 2*c.cfg.Settings.Report() || len(starvingJobs) > 0 && c.takes(m, c.roomOn(m, t), starvingJobs) {
 			m.rt.idleAt = c.now
 			continue
 		}
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -35,7 +35,7 @@
 	}
 	g := &gap{t.CPUs, t.GPUs, t.MemGB}
 	for k, p := range m.rt.pieces {
-		if j := c.rep.jobs[k.job]; p.State != workers.Ended && j != nil && j.known {
+		if j := c.replica.jobs[k.job]; p.State != workers.Ended && j != nil && j.known {
 			g.fill(&j.spec, 1)
 		}
 	}
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -23,8 +23,8 @@
 			if !b.underLimit(j) {
 				break
 			}
-			hole := holeOf(j)
-			if b.failed[hole] {
+			shape := shapeOf(j)
+			if b.failed[shape] {
 				break
 			}
 			d := b.choose(j)
@@ -35,16 +35,16 @@
 			if d != nil {
 				b.put(d, j, n)
 			} else if !c.preempt(b, j, n, false, lower) {
-				b.failed[hole] = true
+				b.failed[shape] = true
 				break
 			}
 		}
 	}
 }
 
-// holeKey is what a task needs of a machine: once one finds no room, others that
+// taskShape is what a task needs of a machine: once one finds no room, others that
 // need the same need not be tried.
-type holeKey struct {
+type taskShape struct {
 	cpus, gpus, mem float64
 	zone, types     string
 	grade           int
@@ -53,9 +53,9 @@
 	recall          units.Micros // within a guarantee, from teams beyond theirs: what may be lost; 0: no recall
 }
 
-func holeOf(j *job) holeKey {
+func shapeOf(j *job) taskShape {
 	s := &j.spec
-	k := holeKey{s.CPUs, s.GPUs, s.MemGB, s.Zone, strings.Join(s.Types, ","), s.Grade, s.Spot, s.Spread || s.OneZone, s.Team, 0}
+	k := taskShape{s.CPUs, s.GPUs, s.MemGB, s.Zone, strings.Join(s.Types, ","), s.Grade, s.Spot, s.Spread || s.OneZone, s.Team, 0}
 	if k.apart {
 		k.team = s.Team + "/" + j.id // depends on where its other tasks are
 	}
@@ -97,7 +97,7 @@
 				loss = math.Inf(1)
 				break
 			}
-			v := &c.rep.jobs[k.job].spec
+			v := &c.replica.jobs[k.job].spec
 			vs = append(vs, k)
 			g.fill(v, -1)
 			loss += cost
@@ -123,7 +123,7 @@
 	}
 	for _, k := range stops {
 		best.stop(k, state.StopNow)
-		best.gap.fill(&c.rep.jobs[k.job].spec, -1)
+		best.gap.fill(&c.replica.jobs[k.job].spec, -1)
 		c.log.Info("preempt", "task", k.task(), "machine", best.m.name, "for", j.id, "partition", b.o.n)
 	}
 	b.put(best, j, n)
@@ -152,7 +152,7 @@
 				continue next
 			}
 		}
-		j := c.rep.jobs[t.Job]
+		j := c.replica.jobs[t.Job]
 		if j == nil || !j.known || !c.wanted(t) || d.stops[k] > 0 || !from.eligible(j) {
 			continue
 		}
@@ -194,14 +194,14 @@
 // back: services leave at once, tasks with checkpoints as late as they can.
 // Others run on, since they may complete in time.
 func (c *Core) evacuate(b *batch) {
-	for _, d := range b.emptying(func(m *machine) bool { return m.rt.noticed }) {
-		left := d.m.rt.noticeAt - c.now
+	for _, d := range b.emptying(func(m *machine) bool { return m.rt.hasNotice }) {
+		left := d.m.rt.noticeEnds - c.now
 		for _, t := range d.keep {
-			j := c.rep.jobs[t.Job]
+			j := c.replica.jobs[t.Job]
 			if j == nil || !c.wanted(t) || !b.room(d.gd) {
 				continue
 			}
-			if j.spec.Service || j.spec.CkptS > 0 && left < units.FromSeconds(j.spec.SaveS)+lastMoment {
+			if j.spec.Service || j.spec.CkptS > 0 && left < units.FromSeconds(j.spec.SaveS)+stopLeadTime {
 				b.touch(d.gd)
 				d.stop(keyOf(t), state.StopSave)
 			}
@@ -247,10 +247,10 @@
 	moving := map[*job]bool{} // one task a time: two that move together may not fit one zone
 	for _, d := range b.emptying(func(m *machine) bool { return m.rt.draining && c.settled(m) }) {
 		for _, t := range d.keep {
-			j := c.rep.jobs[t.Job]
+			j := c.replica.jobs[t.Job]
 			k := keyOf(t)
 			run, runs := d.m.rt.runs[k]
-			if j == nil || !j.known || !j.spec.Service || moving[j] || j.waiting() > 0 || stopping(j) || !c.wanted(t) || !runs || c.now-run.at < restFor || !b.room(d.gd) {
+			if j == nil || !j.known || !j.spec.Service || moving[j] || j.waiting() > 0 || stopping(j) || !c.wanted(t) || !runs || c.now-run.at < minServiceRun || !b.room(d.gd) {
 				continue
 			}
 			j.unbind(t.Num) // it does not stand in its own way
--- a/internal/core/unreachable.go
+++ b/internal/core/unreachable.go
@@ -23,7 +23,7 @@
 
 // watchMachines looks after machines that have fallen silent.
 func (c *Core) watchMachines() {
-	if !c.rep.synced {
+	if !c.replica.synced {
 		return
 	}
 	v := &fleetView{zones: map[string]*zoneView{}}
@@ -36,7 +36,7 @@
 	c.judgeZones(v.zones)
 	c.giveUpTaken()
 	if v.hearing == 0 && v.total > 0 {
-		c.handOverDeaf()
+		c.handOverUnheard()
 	}
 	if len(v.silent) > 0 && v.hearing*2 < v.total {
 		c.cloud.doubtAt = c.now
@@ -63,7 +63,7 @@
 		v.zones[m.doc.Zone] = z
 	}
 	z.machines = append(z.machines, m)
-	if m.rt.unheard >= deafAfter || m.rt.unheard > 0 && m.rt.failed >= 2 {
+	if m.rt.unheardAnswers >= deafAfter || m.rt.unheardAnswers > 0 && m.rt.failed >= 2 {
 		v.deaf = append(v.deaf, m)
 		return
 	}
@@ -97,8 +97,8 @@
 // more, and asks the others.
 func (c *Core) giveUpTaken() {
 	var taken []*machine
-	for _, m := range c.noticed() {
-		if m.rt.probeBad > m.rt.noticeAt && m.rt.probeBad > m.rt.heardAt {
+	for _, m := range c.expiredNotices() {
+		if m.rt.probeBad > m.rt.noticeEnds && m.rt.probeBad > m.rt.heardAt {
 			taken = append(taken, m)
 		} else if c.now-m.rt.probeAt > units.Second/2 {
 			m.rt.probeAt = c.now
@@ -113,14 +113,14 @@
 func (c *Core) giveUpUnreachable(v *fleetView) {
 	var gone []*machine
 	for _, m := range v.silent {
-		if len(gone) <= v.total/8 && m.rt.failed >= 2 && !c.zones[m.doc.Zone].doubt && !c.othersHear(m.name, v.zones[m.doc.Zone].reached()) {
+		if len(gone) <= v.total/8 && m.rt.failed >= 2 && !c.zones[m.doc.Zone].doubt && !c.heardByOthers(m.name, v.zones[m.doc.Zone].reached()) {
 			gone = append(gone, m)
 		}
 	}
 	c.giveUp("silent", gone...)
 	c.giveUp("nothing reaches it", v.deaf...)
 	for _, m := range v.mute {
-		if v.reporting*2 >= v.total && c.now-m.rt.heardAt < c.cfg.Settings.Report()*3/2 && !c.othersHear(m.name, true) {
+		if v.reporting*2 >= v.total && c.now-m.rt.heardAt < c.cfg.Settings.Report()*3/2 && !c.heardByOthers(m.name, true) {
 			c.giveUp("it reaches nobody", m)
 		}
 	}
@@ -216,24 +216,24 @@
 	zoneAgain   = 10 * units.Second
 )
 
-// handOverDeaf gives a partition none of whose machines are heard here to a
+// handOverUnheard gives a partition none of whose machines are heard here to a
 // controller that hears most of them: this node's own network is what fails,
 // and while it kept the partition the machines' leases would run out.
-func (c *Core) handOverDeaf() {
+func (c *Core) handOverUnheard() {
 	report := c.cfg.Settings.Report()
 	for _, p := range c.ownedParts() {
 		o := c.owned[p]
-		if o.inflight || c.now-o.since < 3*report || !c.mayOwe() || c.stateBad {
+		if o.inflight || c.now-o.since < 3*report || !c.mayBorrow() || c.stateBad {
 			continue
 		}
 		for _, l := range c.living() {
-			member, inc, _ := strings.Cut(l, "/")
+			member, incarnation, _ := strings.Cut(l, "/")
 			s, ok := c.peers[member]
-			if !ok || member == c.cfg.Member || s.beat.Inc != inc || c.now-s.at > 3*units.Second {
+			if !ok || member == c.cfg.Member || s.beat.Inc != incarnation || c.now-s.at > 3*units.Second {
 				continue
 			}
 			mine, there := 0, 0
-			for _, m := range c.rep.machines {
+			for _, m := range c.replica.machines {
 				if m.part() != p {
 					continue
 				}
@@ -251,11 +251,11 @@
 	}
 }
 
-// noticed lists this node's machines whose announced end has come.
-func (c *Core) noticed() []*machine {
+// expiredNotices lists this node's machines whose announced end has come.
+func (c *Core) expiredNotices() []*machine {
 	var out []*machine
 	for _, m := range c.sortedMachines() {
-		if m.rt != nil && m.rt.noticed && c.now > m.rt.noticeAt && c.usable(m.part()) {
+		if m.rt != nil && m.rt.hasNotice && c.now > m.rt.noticeEnds && c.usable(m.part()) {
 			out = append(out, m)
 		}
 	}
@@ -265,17 +265,17 @@
 // reached reports whether the way to the zone is open: most machines there are heard.
 func (z *zoneView) reached() bool { return len(z.machines) >= 4 && z.hearing*2 >= len(z.machines) }
 
-// othersHear reports whether a living controller hears the machine. One that cannot
+// heardByOthers reports whether a living controller hears the machine. One that cannot
 // be asked might, unless the way to the machine's zone is open: while controllers
 // refuse each other's connections, nothing that died would be replaced.
-func (c *Core) othersHear(name string, reached bool) bool {
-	for key := range c.rep.nodes {
-		member, inc, _ := strings.Cut(strings.TrimPrefix(key, state.Nodes), "/")
+func (c *Core) heardByOthers(name string, reached bool) bool {
+	for key := range c.replica.nodes {
+		member, incarnation, _ := strings.Cut(strings.TrimPrefix(key, state.Nodes), "/")
 		if member == c.cfg.Member {
 			continue
 		}
 		p, ok := c.peers[member]
-		if !ok || p.beat.Inc != inc || c.now-p.at > 4*units.Second {
+		if !ok || p.beat.Inc != incarnation || c.now-p.at > 4*units.Second {
 			if !reached {
 				return true
 			}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -61,7 +61,7 @@
 }
 
 func (c *Core) ready(q ReadyReq) {
-	ok := c.rep.synced && len(c.cloud.types) > 0 && c.alive
+	ok := c.replica.synced && len(c.cloud.types) > 0 && c.alive
 	if ok && !c.stateFine() && c.now-c.stateOK > 2*units.Second {
 		// Alone without the state service: others serve better. If all are
 		// without it, staying in the balancer serves soonest when it returns.
@@ -88,15 +88,15 @@
 		c.answer(q.To, 400, nil)
 		return
 	}
-	if f, ok := c.rep.finals.get(q.ID); ok { // an end is final: no need to ask
+	if f, ok := c.replica.finals.get(q.ID); ok { // an end is final: no need to ask
 		c.answer(q.To, 200, finalStatus(q.ID, f))
 		return
 	}
-	if !c.rep.synced || c.stateBad && c.now-c.stateOK > 500*units.Millisecond {
+	if !c.replica.synced || c.stateBad && c.now-c.stateOK > 500*units.Millisecond {
 		c.answer(q.To, 503, nil)
 		return
 	}
-	if q.Kind == Submit && q.Job != nil && len(c.cloud.types) > 0 && c.rep.jobs[q.ID] == nil &&
+	if q.Kind == Submit && q.Job != nil && len(c.cloud.types) > 0 && c.replica.jobs[q.ID] == nil &&
 		intake.Feasible(q.Job, c.cfg.Settings.Teams, c.cloud.types) == nil {
 		c.enter(q)
 		return
@@ -148,11 +148,11 @@
 			then(nil, false)
 			return
 		}
-		if f, ok := c.rep.finals.get(id); ok {
+		if f, ok := c.replica.finals.get(id); ok {
 			then(finalStatus(id, f), true)
 			return
 		}
-		j := c.rep.jobs[id]
+		j := c.replica.jobs[id]
 		if j != nil && j.known && !j.cancelled {
 			st := &Status{ID: id, Stage: Pending, Done: j.done.Len()}
 			for n := range j.bound {
@@ -172,7 +172,7 @@
 			var f state.Final
 			switch {
 			case r.Status == 200 && c.decode(state.Finals+id, r.Value, &f):
-				c.rep.finals.put(id, f)
+				c.replica.finals.put(id, f)
 				then(finalStatus(id, f), true)
 			case r.Status == 404:
 				then(nil, true)
@@ -190,9 +190,9 @@
 func (c *Core) byUrgency(wait map[*shelf][]accept) []*shelf {
 	var out []*shelf
 	urgency := map[*shelf]units.Micros{}
-	first := c.memberRank() * len(c.rep.shelves) / c.cfg.Settings.Size
-	for i := range c.rep.shelves {
-		s := c.rep.shelves[(first+i)%len(c.rep.shelves)]
+	first := c.memberRank() * len(c.replica.shelves) / c.cfg.Settings.Size
+	for i := range c.replica.shelves {
+		s := c.replica.shelves[(first+i)%len(c.replica.shelves)]
 		for _, a := range wait[s] {
 			urgency[s] += c.now - a.at + units.Second/4
 		}
@@ -206,13 +206,13 @@
 
 // sendAccepts stores waiting submissions, as many as one transaction takes.
 func (c *Core) sendAccepts() {
-	if len(c.accepts) == 0 || c.accepting || c.rep.watchRev < c.acceptRev || !c.mayOwe() || c.now < c.acceptAt {
+	if len(c.accepts) == 0 || c.accepting || c.replica.watchRev < c.acceptRev || !c.mayBorrow() || c.now < c.acceptAt {
 		return
 	}
 	byShelf := map[*shelf][]accept{}
 	for _, a := range c.accepts {
 		if _, ok := c.open[a.to]; ok {
-			s := c.rep.shelfOf(a.job.ID)
+			s := c.replica.shelfOf(a.job.ID)
 			byShelf[s] = append(byShelf[s], a)
 		}
 	}
@@ -233,7 +233,7 @@
 			continue
 		}
 		size += len(val)
-		txn.Guards = append(txn.Guards, state.Guard{Key: s.key, Stamp: c.rep.stamps[s.key]})
+		txn.Guards = append(txn.Guards, state.Guard{Key: s.key, Stamp: c.replica.stamps[s.key]})
 		for _, a := range put {
 			txn.Guards = append(txn.Guards, state.Guard{Key: state.Finals + a.job.ID})
 		}
@@ -285,7 +285,7 @@
 	room := c.valueMax() - s.size
 	var put []accept
 	for _, a := range wait {
-		j := c.rep.jobs[a.job.ID]
+		j := c.replica.jobs[a.job.ID]
 		twice := slices.ContainsFunc(put, func(b accept) bool { return b.job.ID == a.job.ID })
 		cost := state.StoredCost(len(encode(a.job)))
 		switch {
@@ -332,7 +332,7 @@
 	doc := &state.Shelf{}
 	for _, id := range s.ids {
 		if !less[id] {
-			doc.Jobs = append(doc.Jobs, c.rep.jobs[id].spec)
+			doc.Jobs = append(doc.Jobs, c.replica.jobs[id].spec)
 		}
 	}
 	return doc
@@ -368,7 +368,7 @@
 
 // cancel writes the job's end; the owner sees it and stops the tasks.
 func (c *Core) cancel(q UserReq) {
-	if j := c.rep.jobs[q.ID]; j == nil || !j.known {
+	if j := c.replica.jobs[q.ID]; j == nil || !j.known {
 		c.answer(q.To, 503, nil)
 		return
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -37,7 +37,7 @@
 		v.until = min(v.until, rt.launchOver()+1)
 	}
 	for _, task := range m.doc.Tasks {
-		j := c.rep.jobs[task.Job]
+		j := c.replica.jobs[task.Job]
 		over := j == nil || !j.known || j.done.Has(task.Num)
 		active := !over && task.Ran == 0 // its commander has seen its end: the room is free
 		if own {
@@ -72,7 +72,7 @@
 	}
 	for k, piece := range rt.pieces { // tasks that nobody lists take room until they are gone
 		if piece.State != workers.Ended && !m.lists(k) {
-			if j := c.rep.jobs[k.job]; j != nil && j.known {
+			if j := c.replica.jobs[k.job]; j != nil && j.known {
 				v.used.fill(&j.spec, -1)
 			}
 			v.live++
