--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -332,3 +332,17 @@
 
 // TestFleets plays random days of large ones.
 func TestFleets(t *testing.T) { playSeeds(t, fleet, "FLEETS", 1, 4) }
+
+// heldAnswers writes a day of meetings on which answers to reports are held up as well.
+func heldAnswers(seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 17))
+	var b strings.Builder
+	b.WriteString(meetings(seed))
+	for range 2 {
+		fmt.Fprintf(&b, "at %.1f slow_answers by=%.1f for=%.1f\n", 10+rng.Float64()*200, 1+rng.Float64()*2.9, 20+rng.Float64()*80)
+	}
+	return b.String()
+}
+
+// TestHeldAnswers plays random days with answers that are held up.
+func TestHeldAnswers(t *testing.T) { playSeeds(t, heldAnswers, "HELD", 1, 6) }
