--- a/internal/core/format_test.go
+++ b/internal/core/format_test.go
@@ -99,3 +99,38 @@
 		}
 	}
 }
+
+// TestMovedTwice shows a copy two splits of one job shard at once, in every order in which an
+// answer of the state service may tell of their documents. A job that went from the first
+// document to a piece, and from there to a piece of that, was taken for one that is over when
+// the last two came before the first: its absence was read as its end.
+func TestMovedTwice(t *testing.T) {
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		t.Run(fmt.Sprint(order), func(t *testing.T) {
+			cfg := &config.Config{Member: "a"}
+			cfg.Settings.Size, cfg.Settings.State.ValueKB = 1, 100
+			c := quietCore(cfg)
+			of := len(c.replica.jobShards)
+			job := func(n int) state.Job { return state.Job{ID: fmt.Sprintf("j-%06d", n), Tasks: 1} }
+			stays, moves, movesTwice := job(5), job(5+of), job(5+3*of)
+			c.apply(state.JobShardKey(5), encode(state.JobShard{Jobs: []state.Job{stays, moves, movesTwice}}), 10, false)
+			docs := []struct {
+				key   string
+				doc   state.JobShard
+				stamp uint64
+			}{
+				{state.JobShardKey(5), state.JobShard{Spread: 2 * of, Jobs: []state.Job{stays}}, 20},
+				{state.JobShardKey(5 + of), state.JobShard{Spread: 4 * of, Jobs: []state.Job{moves}}, 30},
+				{state.JobShardKey(5 + 3*of), state.JobShard{Spread: 4 * of, Jobs: []state.Job{movesTwice}}, 30},
+			}
+			for _, i := range order {
+				c.apply(docs[i].key, encode(docs[i].doc), docs[i].stamp, false)
+			}
+			for _, want := range []state.Job{stays, moves, movesTwice} {
+				if j := c.replica.jobs[want.ID]; j == nil || !j.known || j.chain == nil {
+					t.Errorf("%s is lost", want.ID)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/clients_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"frostdock.example/frostdock/internal/core"
+	"frostdock.example/frostdock/internal/workers"
+)
+
+// silentWorker accepts connections and never answers.
+func silentWorker(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// commandAge is how long after its decision a command may still leave, with time for a busy machine.
+const commandAge = 1400 * time.Millisecond
+
+// TestNoOldCommand has so many machines not answer that the commands under way are as many as
+// may be. A command that waits for its turn must not leave long after it was decided: what it
+// starts may be cancelled by then, and the right to start may have lapsed.
+func TestNoOldCommand(t *testing.T) {
+	n := alone(t, 64)
+	silent := silentWorker(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var mu sync.Mutex
+	var got []time.Time
+	go func() {
+		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+			mu.Lock()
+			got = append(got, time.Now())
+			mu.Unlock()
+			_, _ = io.WriteString(ctx, "{}")
+		})
+	}()
+	command := &workers.Command{Token: 1, Session: 1, Orders: []workers.Order{{Op: workers.Launch, Task: "j-000001/0", Attempt: 1}}}
+	for i := range 4 * cap(n.calls.telling) {
+		n.effect(core.WorkerCall{ID: uint64(1000 + i), Addr: silent, Cmd: command})
+	}
+	time.Sleep(50 * time.Millisecond) // all of them wait before the last does
+	decided := time.Now()
+	n.effect(core.WorkerCall{ID: 1, Addr: ln.Addr().String(), Cmd: command})
+	time.Sleep(7 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, at := range got {
+		if age := at.Sub(decided); age > commandAge {
+			t.Errorf("a command left %v after it was decided", age)
+		}
+	}
+}
