--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -142,6 +142,19 @@
 	c.out = append(c.out, WorkerCall{ID: id, Addr: m.doc.Addr, Cmd: &workers.Command{Token: tok, Session: sess, Orders: orders}})
 }
 
+// sendPokes tells the machines whose entries have changed. That waits until a step has read all
+// that it was given: what enters a task may be followed, in the same answer of the state service,
+// by what cancels its job, and such a task was once started all the same.
+func (c *Core) sendPokes() {
+	changed := c.pokes
+	c.pokes = nil
+	for _, m := range changed {
+		if c.replica.machines[m.name] == m {
+			c.poke(m)
+		}
+	}
+}
+
 // inspect asks a machine for its report.
 func (c *Core) inspect(m *machine) {
 	rt := m.rt
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,6 +79,7 @@
 	peers     map[string]peerState
 	heard     map[string]units.Micros
 	entering  map[string]*newMachine // machines about to be entered
+	pokes     []*machine             // machines whose entries have changed in this step
 	zones     map[string]zoneState   // those that may be cut off
 
 	classAverage map[string]units.Micros // average task time by class of jobs, as last known
@@ -148,6 +149,7 @@
 		c.timers = append(c.timers[:i], c.timers[i+1:]...)
 		f()
 	}
+	c.sendPokes()
 	c.duties()
 	return c.out
 }
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -495,7 +495,7 @@
 				delete(m.rt.ended, k)
 			}
 		}
-		c.poke(m)
+		c.pokes = append(c.pokes, m)
 	}
 }
 
