--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -27,6 +27,8 @@
 	asked   map[state.Kind]int
 	workers int
 
+	guarded bool // conditions of transactions are checked
+
 	most, mostOps int      // longest value and most changes of a transaction; 0: any
 	refused       []string // what was larger
 	changes       int
@@ -47,6 +49,17 @@
 	}
 }
 
+// failedGuards lists the conditions of a transaction that do not hold.
+func (o *outside) failedGuards(txn *state.Txn) []string {
+	var failed []string
+	for _, g := range txn.Guards {
+		if o.guarded && o.keys[g.Key].Stamp != g.Stamp {
+			failed = append(failed, g.Key)
+		}
+	}
+	return failed
+}
+
 // quietCore is a controller with the default policy that logs nothing.
 func quietCore(cfg *config.Config) *Core {
 	return New(cfg, policy.Default(), slog.New(slog.NewTextHandler(io.Discard, nil)), "test")
@@ -120,6 +133,9 @@
 			}
 		case state.Commit:
 			o.tooLarge(e.Req.Txn)
+			if failed := o.failedGuards(e.Req.Txn); len(failed) > 0 {
+				return []Msg{StateDone{ID: e.ID, Resp: state.Response{Status: 409, Rev: o.rev, Failed: failed}}}
+			}
 			o.changes += len(e.Req.Txn.Apply)
 			o.rev++
 			r.Rev = o.rev
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strings"
 	"testing"
 
 	"frostdock.example/frostdock/internal/config"
@@ -81,3 +82,23 @@
 	}
 	t.Error("not answered")
 }
+
+// TestEndStoredBesideEntry loads a store in which a job is among the accepted ones and has its
+// end as well: two controllers took it at the moment at which what it needs was cancelled. The
+// owner, whose copy does not have that end, tried to write it for ever, and since that failed
+// nothing that was in the same transaction was ever stored.
+func TestEndStoredBesideEntry(t *testing.T) {
+	c, o := chainStore(state.Final{Stage: Cancelled, At: 77})
+	o.put(state.Finals+"j-000002", state.Final{Stage: Cancelled, At: 78, Because: "j-000001"})
+	o.guarded = true
+	step := o.stepper(c)
+	for range 600 {
+		step()
+	}
+	for key, item := range o.keys {
+		var shard state.JobShard
+		if strings.HasPrefix(key, state.JobShards) && c.decode(key, item.Value, &shard) && len(shard.Jobs) > 0 {
+			t.Errorf("%s still has %s", key, shard.Jobs[0].ID)
+		}
+	}
+}
