--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -269,6 +269,7 @@
 		if res == conflict {
 			o.needRev = max(o.needRev, rev) // the replica must first show what failed it
 			c.log.Info("batch conflicts", "partition", o.n, "failed", failed)
+			c.learnEnds(failed)
 		}
 		return
 	}
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"frostdock.example/frostdock/internal/chain"
 	"frostdock.example/frostdock/internal/state"
@@ -145,6 +146,18 @@
 	})
 }
 
+// learnEnds reads the ends among the documents that failed a transaction, unless they are known.
+// That the copy does not show an end is no proof that there is none: a batch that went by it
+// was refused again and again, and its partition stored nothing more.
+func (c *Core) learnEnds(failed []string) {
+	for _, key := range failed {
+		id, isEnd := strings.CutPrefix(key, state.Finals)
+		if _, known := c.replica.finals.get(id); isEnd && !known {
+			c.fetchEnd(id, func(int, state.Final) {})
+		}
+	}
+}
+
 // needs is what became of the jobs that a submission names.
 type needs struct {
 	open    []string // not over
