--- a/internal/core/arrays.go
+++ b/internal/core/arrays.go
@@ -15,7 +15,7 @@
 func (c *Core) placeArrays(b *batch, jobs []*job) {
 	var active []*job
 	for _, j := range jobs {
-		if !j.spec.Service && !j.cancelled && !j.held() {
+		if !j.spec.Service && !j.cancelled() && !j.held() {
 			active = append(active, j)
 		}
 	}
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -105,6 +105,18 @@
 	return c.alive && c.replica.synced && c.replica.watchRev >= c.replica.completeAt && c.knownAt > 0 && c.now-c.knownAt < c.cfg.Settings.AnswerBound()
 }
 
+// noteEntitled notes since when this process may act, and tells when that changes.
+func (c *Core) noteEntitled() {
+	switch may := c.entitled(); {
+	case may && c.entitledAt == 0:
+		c.entitledAt = c.now
+		c.log.Info("may act on the copy", append(c.proof(), "complete_at", c.replica.completeAt, "inc", c.incarnation)...)
+	case !may && c.entitledAt > 0:
+		c.log.Info("may no longer act on the copy", append(c.proof(), "for_s", (c.now-c.entitledAt).Seconds(), "registered", c.alive, "synced", c.replica.synced)...)
+		c.entitledAt = 0
+	}
+}
+
 // launchBound is how old the copy may be for a start. Leases may be kept for
 // longer, so that a short outage costs no task; but a start can wait, and whatever
 // is cancelled meanwhile must not be started any more.
@@ -129,7 +141,7 @@
 	case mine && (o == nil || o.stamp != p.stamp):
 		o = &ownedPartition{n: n, stamp: p.stamp, epoch: p.doc.Epoch, since: c.now, reservedFor: map[string]reservation{}}
 		c.owned[n] = o
-		c.log.Info("own partition", "partition", n, "epoch", o.epoch)
+		c.log.Info("own partition", append(c.proof(), "partition", n, "epoch", o.epoch, "guard", o.stamp)...)
 		for _, m := range c.sortedMachines() {
 			if m.part() == n {
 				c.acquire(m, o)
@@ -137,7 +149,7 @@
 		}
 	case !mine && o != nil:
 		delete(c.owned, n)
-		c.log.Info("partition passed on", "partition", n, "to", p.doc.Member, "epoch", p.doc.Epoch)
+		c.log.Info("partition passed on", append(c.proof(), "partition", n, "to", p.doc.Member, "epoch", p.doc.Epoch, "own_epoch", o.epoch, "held_s", (c.now-o.since).Seconds())...)
 		for _, m := range c.replica.machines {
 			if m.g.part == n {
 				m.rt = nil
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -104,7 +104,7 @@
 	sum := 0.0
 	using := c.teamUsage()
 	for _, j := range c.sortedJobs() {
-		if !j.cancelled && c.now >= j.retryAt {
+		if !j.cancelled() && c.now >= j.retryAt {
 			sum += float64(min(j.waiting(), c.quotaRoom(j, using))) * j.spec.CPUs
 		}
 	}
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -9,30 +9,12 @@
 )
 
 // wanted reports whether a task in the machine's document should run there.
-func (c *Core) wanted(t state.Task) bool {
-	j := c.replica.jobs[t.Job]
-	return j != nil && j.known && !j.cancelled && t.Stop == 0 && !j.isDone(t.Num)
-}
+func (c *Core) wanted(t state.Task) bool { return c.taskFactsOf(t).mustStop() == keepRunning }
 
 // releasable reports whether a task in the document is certainly not, or no
 // longer, active on the machine, so that its entry may go.
 func (c *Core) releasable(m *machine, t state.Task) bool {
-	if j := c.replica.jobs[t.Job]; j == nil || !j.known || j.done.Has(t.Num) {
-		return true // its end is stored
-	} else if j.isDone(t.Num) {
-		return false // done, but not yet stored: without the entry it would run again
-	}
-	rt := m.rt
-	k := keyOf(t)
-	if p, ok := rt.pieces[k]; ok && rt.heardAt > 0 {
-		// Only a report under the present token tells of an end that lasts: an older one
-		// may be a late copy, and the attempt was started again in a later session.
-		return p.State == workers.Ended && rt.seen == c.token(m) || c.now > rt.leaseEnd
-	}
-	if c.now > rt.leaseEnd {
-		return true
-	}
-	return !c.wanted(t) && c.settled(m)
+	return c.taskFactsOf(t).mayRelease(c.machineFactsOf(m, t)) != keepEntry
 }
 
 // orders compares what should be on the machine with what it reported.
@@ -45,7 +27,7 @@
 	// A task may be entered together with the stops that make room for it: it
 	// is launched once that room is free.
 	room := c.freeNow(m)
-	launch := c.mayLaunch()
+	right := c.rightsOver(m)
 	listed := make(map[taskKey]bool, len(m.doc.Tasks))
 	// Whatever is entered may be waiting for room: what ranks higher has it first.
 	grade := func(t state.Task) int {
@@ -61,11 +43,12 @@
 	for _, t := range tasks {
 		k := keyOf(t)
 		p, there := rt.pieces[k]
-		if c.wanted(t) {
+		facts := c.taskFactsOf(t)
+		if facts.mustStop() == keepRunning {
 			listed[k] = true
 			// One that is being given up must not be launched again meanwhile: the
 			// same write may have put it elsewhere.
-			if !there && !rt.leaving[k] && launch && room.take(&c.replica.jobs[t.Job].spec) {
+			if !there && !rt.leaving[k] && facts.mayStart(right) == startAllowed && room.take(&c.replica.jobs[t.Job].spec) {
 				out = append(out, workers.Order{Op: workers.Launch, Task: k.task(), Attempt: t.Attempt})
 			}
 			continue
@@ -110,9 +93,9 @@
 		c.inspect(m)
 		return
 	}
-	orders := c.orders(m)
+	orders, ok := c.cleared(m, c.orders(m))
 	tok := c.token(m)
-	if len(orders) == 0 && rt.seen == tok {
+	if !ok || len(orders) == 0 && rt.seen == tok {
 		return
 	}
 	if rt.seen > tok {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,10 +80,13 @@
 	heard     map[string]units.Micros
 	entering  map[string]*newMachine // machines about to be entered
 	pokes     []*machine             // machines whose entries have changed in this step
+	reports   []ReportReq            // that have come in this step
 	zones     map[string]zoneState   // those that may be cut off
 
 	classAverage map[string]units.Micros // average task time by class of jobs, as last known
 
+	audit audit
+
 	cloud  cloudState
 	lastAt map[string]units.Micros // when each periodic duty was last done
 }
@@ -107,7 +110,7 @@
 		processID: incarnation, incarnation: incarnation, owned: map[int]*ownedPartition{}, writing: map[string]bool{},
 		open: map[uint64]units.Micros{}, peers: map[string]peerState{}, heard: map[string]units.Micros{}, entering: map[string]*newMachine{}, zones: map[string]zoneState{}, written: map[string]int{},
 		cloud: newCloudState(), lastAt: map[string]units.Micros{}, classAverage: map[string]units.Micros{},
-		limits: newStateLimits(&cfg.Settings), reading: map[string]bool{},
+		limits: newStateLimits(&cfg.Settings), reading: map[string]bool{}, audit: newAudit(),
 	}
 	for _, t := range cfg.Settings.Teams {
 		if p := c.partOf(t.Name); !slices.Contains(c.teamParts, p) {
@@ -149,6 +152,7 @@
 		c.timers = append(c.timers[:i], c.timers[i+1:]...)
 		f()
 	}
+	c.answerReports()
 	c.sendPokes()
 	c.duties()
 	return c.out
@@ -161,7 +165,7 @@
 	case ReadyReq:
 		c.ready(m)
 	case ReportReq:
-		c.report(m)
+		c.reports = append(c.reports, m) // answered when all else has been read
 	case StateDone:
 		if done, ok := c.stateCalls[m.ID]; ok {
 			delete(c.stateCalls, m.ID)
@@ -198,11 +202,7 @@
 		c.refill()
 	}
 	c.learnRevision()
-	if !c.entitled() {
-		c.entitledAt = 0
-	} else if c.entitledAt == 0 {
-		c.entitledAt = c.now
-	}
+	c.noteEntitled()
 	c.sendConfirm()
 	c.sendAccepts()
 	if c.every("users", 100*units.Millisecond) {
@@ -220,6 +220,9 @@
 	if c.every("beat", units.Second) {
 		c.sendHeartbeat()
 	}
+	if c.every("decisions", auditEvery) {
+		c.tellDecisions()
+	}
 	if c.every("summary", summaryEvery) {
 		c.summary()
 	}
@@ -295,7 +298,7 @@
 func (c *Core) summary() {
 	jobs, services, waiting, bound := 0, 0, 0, 0
 	for _, j := range c.replica.jobs {
-		if j.known && !j.cancelled {
+		if j.known && !j.cancelled() {
 			jobs++
 			if j.spec.Service {
 				services++
@@ -310,9 +313,9 @@
 			mine++
 		}
 	}
-	c.log.Info("summary", "partitions", c.ownedParts(), "rev", c.replica.watchRev, "state_ok", c.stateFine(),
+	c.log.Info("summary", append(c.proof(), "epochs", c.epochs(), "entitled", c.entitled(), "invariants_violated", c.audit.violations, "state_ok", c.stateFine(),
 		"jobs", jobs, "services", services, "tasks_waiting", waiting, "tasks_bound", bound,
-		"machines", len(c.replica.machines), "machines_mine", mine, "requests_open", len(c.open), "written", c.written)
+		"machines", len(c.replica.machines), "machines_mine", mine, "requests_open", len(c.open), "written", c.written)...)
 	c.written = map[string]int{}
 }
 
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -49,7 +49,7 @@
 	jobs := c.sortedJobs()
 	for grade := 3; grade >= 0; grade-- {
 		for _, j := range jobs {
-			if j.cancelled || j.spec.Grade != grade || c.now < j.retryAt {
+			if j.cancelled() || j.spec.Grade != grade || c.now < j.retryAt {
 				continue
 			}
 			n := j.waiting()
@@ -107,7 +107,7 @@
 			j.failures = 0 // what has run on for so long is no failure: the others need not wait for its end
 		}
 		switch {
-		case j.cancelled || c.now < j.retryAt || j.waiting() == 0 || c.quotaRoom(j, using) == 0:
+		case j.cancelled() || c.now < j.retryAt || j.waiting() == 0 || c.quotaRoom(j, using) == 0:
 			j.waitAt = 0
 		case j.waitAt == 0:
 			j.waitAt = c.now
--- a/internal/core/estimates.go
+++ b/internal/core/estimates.go
@@ -14,7 +14,7 @@
 	}
 	sum, known := map[string]units.Micros{}, map[string]units.Micros{}
 	for _, j := range c.sortedJobs() {
-		if average, _ := j.average(); average > 0 && !j.cancelled {
+		if average, _ := j.average(); average > 0 && !j.cancelled() {
 			sum[j.spec.Class] += average
 			known[j.spec.Class]++
 		}
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -18,17 +18,23 @@
 func (c *Core) finishJobs(b *batch, jobs []*job) {
 	least := b.joint() - b.joint()/2 // the rest is for what waits to start
 	for _, j := range jobs {
-		switch {
-		case c.writing[state.Finals+j.id]:
-		case j.cancelled && len(j.bound) == 0 && b.canClear(j):
+		if c.writing[state.Finals+j.id] {
+			continue
+		}
+		final, _ := c.replica.finals.get(j.id)
+		reason := j.facts(final).mayForget()
+		if reason == keepJob || !b.canClear(j) || reason == forgetDerived && b.joint() <= least {
+			continue
+		}
+		c.audit.forgets[reason]++
+		switch reason {
+		case forgetCancelled:
 			key := state.Cancels + j.id
-			if stamp, marked := c.replica.stamps[key]; marked {
-				b.clear(j)
-				b.op(state.Op{Delete: key}, stamp)
-			} else if b.joint() > least {
-				b.endDerived(j)
-			}
-		case !j.cancelled && j.doneCount() == j.spec.Tasks && b.canClear(j):
+			b.clear(j)
+			b.op(state.Op{Delete: key}, c.replica.stamps[key])
+		case forgetDerived:
+			b.endDerived(j)
+		case forgetCompleted:
 			f := state.Final{Stage: Done, Done: j.spec.Tasks, At: int64(c.wall), Mark: b.mark}
 			// Whoever writes the end first decides between done and cancelled.
 			b.op(state.Op{Set: state.Finals + j.id, Value: encode(f)}, 0)
@@ -41,7 +47,7 @@
 	}
 	var open []*job
 	for _, j := range jobs {
-		if len(j.unstoredDone) == 0 || j.cancelled || j.doneCount() == j.spec.Tasks {
+		if len(j.unstoredDone) == 0 || j.cancelled() || j.doneCount() == j.spec.Tasks {
 			continue
 		}
 		if j.flushAt == 0 {
@@ -64,7 +70,7 @@
 // controller or of another, which may use what is left. With tasks of a few seconds two
 // thirds of all changes went into progress.
 func waits(jobs []*job) bool {
-	return slices.ContainsFunc(jobs, func(j *job) bool { return !j.cancelled && j.waiting() > 0 })
+	return slices.ContainsFunc(jobs, func(j *job) bool { return !j.cancelled() && j.waiting() > 0 })
 }
 
 // changesPlentiful reports whether changes are not scarce at the moment.
--- a/internal/core/guarantee.go
+++ b/internal/core/guarantee.go
@@ -12,7 +12,7 @@
 	guaranteed := map[*job]bool{}
 	wants := map[string]*usage{}
 	for _, j := range c.sortedJobs() {
-		if j.cancelled || j.held() {
+		if j.cancelled() || j.held() {
 			continue
 		}
 		addUse(wants, &j.spec, j.spec.Tasks-j.doneCount())
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -16,11 +16,11 @@
 	pack         *progressPack // where its progress is stored, if any is
 	avg          units.Micros  // stored average of finished tasks
 	avgOf        int           // and of how many
-	cancelled    bool
-	bound        map[int]bind // by task number: where it may be
-	live         int          // of bound, those not known to be done; -1 when that must be counted
-	holding      int          // of bound, those whose end is not stored; counted with live
-	recordedDone map[int]bool // of bound, those whose end stands beside them in their machine's entry
+	marked       bool          // a mark says that it is cancelled
+	bound        map[int]bind  // by task number: where it may be
+	live         int           // of bound, those not known to be done; -1 when that must be counted
+	holding      int           // of bound, those whose end is not stored; counted with live
+	recordedDone map[int]bool  // of bound, those whose end stands beside them in their machine's entry
 	part         int
 	chain        *chain.Node // which jobs it waits for; nil: none was ever named
 	gapsMost     *int        // gaps that its stored progress may have; nil: the usual number
@@ -48,6 +48,10 @@
 	attempt uint64
 }
 
+// cancelled reports whether the job is known to be cancelled: by its mark, by its own stored end,
+// or by that of a job that it needs, directly or through others.
+func (j *job) cancelled() bool { return j.marked || j.chain.Cancelled() }
+
 // active counts the tasks that may be running.
 func (j *job) active() int {
 	j.count()
@@ -92,7 +96,7 @@
 
 // tidy drops an entry of which nothing is left.
 func (r *replica) tidy(j *job) {
-	if !j.known && !j.cancelled && j.pack == nil && len(j.bound) == 0 {
+	if !j.known && !j.marked && j.pack == nil && len(j.bound) == 0 {
 		delete(r.jobs, j.id)
 	}
 }
--- a/internal/core/load.go
+++ b/internal/core/load.go
@@ -53,7 +53,7 @@
 func (c *Core) loaded(rev uint64) {
 	c.replica.watchRev = rev
 	c.replica.synced = true
-	c.log.Info("replica loaded", "rev", rev, "jobs", len(c.replica.jobs), "machines", len(c.replica.machines))
+	c.log.Info("replica loaded", "rev", rev, "complete_at", c.replica.completeAt, "jobs", len(c.replica.jobs), "machines", len(c.replica.machines))
 	c.watch()
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -83,7 +83,7 @@
 	b.ops = min(max(c.limits.TxnOps, batchOps), int(c.tokens)-1) // one is kept back for accepts
 	b.jointOps = c.limits.TxnOps
 	for _, j := range c.sortedJobs() {
-		if !j.cancelled && j.part != p && !b.waitingParts[j.part] && c.now >= j.retryAt && j.waiting() > 0 {
+		if !j.cancelled() && j.part != p && !b.waitingParts[j.part] && c.now >= j.retryAt && j.waiting() > 0 {
 			b.waitingParts[j.part] = true
 		}
 	}
@@ -178,11 +178,13 @@
 // is in one transaction, with as many machine shards as it takes; each machine shard is whole in one.
 func (b *batch) write() {
 	c, o := b.c, b.o
+	b.auditForgotten()
 	all := []*transaction{b.jointChanges()}
 	for _, gd := range b.shards {
 		if !gd.changed {
 			continue
 		}
+		gd.auditReleases()
 		pieces := gd.documents()
 		last := all[len(all)-1]
 		if len(last.txn.Apply)+len(pieces) > c.limits.TxnOps {
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -148,7 +148,7 @@
 	}
 	sum := 0.0
 	for _, j := range c.sortedJobs() {
-		if j.spec.Service || j.cancelled {
+		if j.spec.Service || j.cancelled() {
 			continue
 		}
 		avg, _ := j.average()
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -268,7 +268,7 @@
 // applyCancel notes that a job is cancelled, or that it is cleared away.
 func (c *Core) applyCancel(id string, deleted bool) {
 	j := c.replica.job(id)
-	j.cancelled = !deleted || c.replica.chains.Node(id).Cancelled()
+	j.marked = !deleted
 	j.touch()
 	if !deleted {
 		c.noteEnd(id, chain.End{Outcome: chain.Cancelled})
@@ -519,7 +519,7 @@
 func (c *Core) missed(old state.Tasks) {
 	for _, t := range old {
 		j := c.replica.jobs[t.Job]
-		if j == nil || !j.known || j.cancelled || t.Stop > 0 || j.isDone(t.Num) || c.owned[j.part] == nil {
+		if j == nil || !j.known || j.cancelled() || t.Stop > 0 || j.isDone(t.Num) || c.owned[j.part] == nil {
 			continue
 		}
 		if _, ok := j.bound[t.Num]; !ok {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -10,6 +10,16 @@
 	"frostdock.example/frostdock/internal/workers"
 )
 
+// answerReports answers the reports of a step. They wait until it has read all else that it was
+// given: an answer that starts a task must not leave beside the news that cancels its job.
+func (c *Core) answerReports() {
+	reports := c.reports
+	c.reports = nil
+	for _, q := range reports {
+		c.report(q)
+	}
+}
+
 // report answers a worker.
 func (c *Core) report(q ReportReq) {
 	r := &q.Report
@@ -54,7 +64,11 @@
 	c.observe(m, r)
 	l := c.cfg.Settings.Lease()
 	m.rt.leaseEnd = max(m.rt.leaseEnd, c.now+l+leaseMargin(l))
-	orders := c.orders(m)
+	orders, ok := c.cleared(m, c.orders(m))
+	if !ok {
+		c.reply(q.To, 503, nil)
+		return
+	}
 	if slices.ContainsFunc(orders, func(o workers.Order) bool { return o.Op == workers.Launch }) {
 		m.rt.launchAt = c.now
 	}
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -13,7 +13,7 @@
 // by stopping work of lower grade.
 func (c *Core) placeServices(b *batch, jobs []*job) {
 	for _, j := range jobs {
-		if !j.spec.Service || j.cancelled || j.held() || c.now < j.retryAt {
+		if !j.spec.Service || j.cancelled() || j.held() || c.now < j.retryAt {
 			continue
 		}
 		for n := 0; n < j.spec.Tasks; n++ {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -47,6 +47,9 @@
 		return
 	}
 	delete(c.open, to)
+	if st, ok := body.(*Status); ok && (status == 200 || status == 201) {
+		body = c.auditAnswer(st)
+	}
 	retry := 0
 	if status == 503 || status == 429 {
 		retry = 1
@@ -178,7 +181,7 @@
 		return
 	}
 	j := c.replica.jobs[id]
-	if j != nil && j.known && (!j.cancelled || j.chain.Because() != "") {
+	if j != nil && j.known && (!j.cancelled() || j.chain.Because() != "") {
 		then(c.statusOf(j), true)
 		return
 	}
@@ -199,7 +202,7 @@
 // statusOf is the answer about an accepted job whose end is not stored.
 func (c *Core) statusOf(j *job) *Status {
 	st := &Status{ID: j.id, Stage: Pending, Done: j.done.Len(), WaitsOn: j.chain.WaitsFor()}
-	if j.cancelled {
+	if j.cancelled() {
 		st.Stage, st.Because, st.WaitsOn = Cancelled, j.chain.Because(), nil
 		return st
 	}
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -33,6 +33,9 @@
 // noteEnd passes an end on to the jobs that need the one that is over.
 func (c *Core) noteEnd(id string, end chain.End) {
 	cancelled, ready := c.replica.chains.Ended(id, end)
+	if j := c.replica.jobs[id]; j != nil {
+		j.touch()
+	}
 	c.cancelDependents(cancelled)
 	if len(ready) > 0 {
 		c.log.Info("jobs may start", "jobs", ready, "after", id)
@@ -44,7 +47,6 @@
 func (c *Core) cancelDependents(ids []string) {
 	for _, id := range ids {
 		if j := c.replica.jobs[id]; j != nil && j.known {
-			j.cancelled = true
 			j.touch()
 		}
 	}
@@ -66,7 +68,7 @@
 		return endOf(f), ok
 	})
 	j.chain = r.chains.Node(j.id)
-	if j.cancelled { // its mark was shown before the job itself
+	if j.marked { // it was shown before the job itself
 		c.noteEnd(j.id, chain.End{Outcome: chain.Cancelled})
 	}
 	c.cancelDependents(cancelled)
@@ -76,9 +78,6 @@
 func (c *Core) leaveChain(j *job) {
 	c.replica.chains.Remove(j.id)
 	j.chain = nil
-	if _, marked := c.replica.stamps[state.Cancels+j.id]; !marked {
-		j.cancelled = false
-	}
 }
 
 // since is from when on a job counts as waiting for room: its submission, or the moment when
@@ -96,7 +95,7 @@
 }
 
 // held reports whether a job waits for others, so that it wants nothing for now.
-func (j *job) held() bool { return !j.cancelled && !j.chain.Ready() }
+func (j *job) held() bool { return !j.cancelled() && !j.chain.Ready() }
 
 // mostEndReads is how many ends are read at once for jobs that need them.
 const mostEndReads = 4
@@ -183,7 +182,7 @@
 			result.add(name, f)
 		case j != nil && j.known && j.spec.Service:
 			result.refused = "waitsOn: " + name + ": a service is never done"
-		case j != nil && j.known && j.cancelled:
+		case j != nil && j.known && j.cancelled():
 			result.because = name
 		case j != nil && j.known:
 			result.open = append(result.open, name)
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -5,6 +5,7 @@
 package simulator
 
 import (
+	"bytes"
 	"container/heap"
 	"fmt"
 	"io"
@@ -289,6 +290,9 @@
 type stamped struct{ w *World }
 
 func (s stamped) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte("invariant violated")) {
+		s.w.Rules.fail("invariant", "%s", bytes.TrimSpace(b))
+	}
 	if s.w.log == nil {
 		return len(b), nil
 	}
