--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -67,11 +67,11 @@
 		if member == c.cfg.Member {
 			continue
 		}
-		p, ok := c.peers[member]
-		if !ok || p.heartbeat.Inc != incarnation || c.now-p.at > 3*units.Second {
+		heartbeat, ok := c.heartbeatOf(member, incarnation)
+		if !ok {
 			return 0
 		}
-		used += p.heartbeat.Writes
+		used += heartbeat.Writes
 	}
 	return usedAtMost*c.limits.WriteRPS - used
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -289,6 +289,18 @@
 	c.out = append(c.out, SendHeartbeat{b})
 }
 
+// heartbeatLife is how long a heartbeat tells of the present.
+const heartbeatLife = 3 * units.Second
+
+// heartbeatOf is the latest heartbeat of one process, if it is recent.
+func (c *Core) heartbeatOf(member, incarnation string) (peer.Heartbeat, bool) {
+	p, ok := c.peers[member]
+	if !ok || p.heartbeat.Inc != incarnation || c.now-p.at > heartbeatLife {
+		return peer.Heartbeat{}, false
+	}
+	return p.heartbeat, true
+}
+
 // recentWeight is how much the last second counts among the changes made lately.
 const recentWeight = 0.4
 
--- a/internal/core/draft.go
+++ b/internal/core/draft.go
@@ -177,11 +177,11 @@
 	if p == nil {
 		return nil, false
 	}
-	s, ok := c.peers[p.doc.Member]
-	if !ok || s.heartbeat.Inc != p.doc.Inc || c.now-s.at > 3*units.Second {
+	heartbeat, ok := c.heartbeatOf(p.doc.Member, p.doc.Inc)
+	if !ok {
 		return nil, false
 	}
-	images, ok := s.heartbeat.Open[m.name]
+	images, ok := heartbeat.Open[m.name]
 	return images, ok
 }
 
--- a/internal/core/ended.go
+++ b/internal/core/ended.go
@@ -65,6 +65,6 @@
 	if p == nil {
 		return false
 	}
-	s, ok := c.peers[p.doc.Member]
-	return ok && s.heartbeat.Inc == p.doc.Inc && c.now-s.at < 3*units.Second
+	_, ok := c.heartbeatOf(p.doc.Member, p.doc.Inc)
+	return ok
 }
--- a/internal/core/split.go
+++ b/internal/core/split.go
@@ -107,9 +107,6 @@
 // cut gives the machine shard's document in so many pieces.
 func (gd *shardDraft) cut(pieces int) []piece {
 	whole := gd.doc()
-	if pieces <= 1 {
-		return []piece{{gd.g.key, encode(whole)}}
-	}
 	of := max(gd.g.spread, gd.c.replica.layout.Groups)
 	docs := make([]state.MachineShard, pieces)
 	for i := range docs {
@@ -149,8 +146,7 @@
 	}
 	txn := &state.Txn{}
 	for _, p := range pieces {
-		txn.Guards = append(txn.Guards, state.Guard{Key: p.key, Stamp: c.replica.stamps[p.key]})
-		txn.Apply = append(txn.Apply, state.Op{Set: p.key, Value: p.value})
+		c.addSet(txn, p.key, p.value)
 	}
 	c.log.Info("split a job shard", "shard", long.key, "bytes", long.size, "pieces", len(pieces), "longest", longest(pieces))
 	c.splittingJobShard = true
--- a/internal/core/unreachable.go
+++ b/internal/core/unreachable.go
@@ -240,8 +240,8 @@
 		}
 		for _, l := range c.living() {
 			member, incarnation, _ := strings.Cut(l, "/")
-			s, ok := c.peers[member]
-			if !ok || member == c.cfg.Member || s.heartbeat.Inc != incarnation || c.now-s.at > 3*units.Second {
+			heartbeat, ok := c.heartbeatOf(member, incarnation)
+			if !ok || member == c.cfg.Member {
 				continue
 			}
 			mine, there := 0, 0
@@ -250,7 +250,7 @@
 					continue
 				}
 				mine++
-				if ago, ok := s.heartbeat.Heard[m.name]; ok && units.Micros(ago) < 2*report {
+				if ago, ok := heartbeat.Heard[m.name]; ok && units.Micros(ago) < 2*report {
 					there++
 				}
 			}
