--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -185,7 +185,7 @@
 }
 
 // complaints that a log must not have: crashes, data races and broken invariants.
-var complaints = []string{"panic: ", "fatal error: ", "DATA RACE", "invariant"}
+var complaints = []string{"panic: ", "fatal error: ", "DATA RACE", "invariant violated"}
 
 // unexpected lists ends by itself and complaints.
 func (n *controller) unexpected() []string {
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -42,24 +42,24 @@
 	until := time.Now().Add(d)
 	going := func() bool { return time.Now().Before(until) }
 	u.w.run(func() {
-		for going() && u.w.sleep(u.w.rng.between(150*time.Millisecond, 700*time.Millisecond)) {
+		for going() && u.w.sleep(u.pause(150*time.Millisecond, 700*time.Millisecond)) {
 			u.submit(u.plain())
 		}
 	})
 	u.w.run(func() {
-		for going() && u.w.sleep(u.w.rng.between(300*time.Millisecond, 1500*time.Millisecond)) {
+		for going() && u.w.sleep(u.pause(300*time.Millisecond, 1500*time.Millisecond)) {
 			if u.w.upgraded.Load() {
 				u.w.run(u.pipeline)
 			}
 		}
 	})
 	u.w.run(func() {
-		for going() && u.w.sleep(u.w.rng.between(200*time.Millisecond, time.Second)) {
+		for going() && u.w.sleep(u.pause(200*time.Millisecond, time.Second)) {
 			u.odd()
 		}
 	})
 	u.w.run(func() {
-		for going() && u.w.sleep(u.w.rng.between(300*time.Millisecond, 1500*time.Millisecond)) {
+		for going() && u.w.sleep(u.pause(300*time.Millisecond, 1500*time.Millisecond)) {
 			if id := u.any(); id != "" {
 				u.w.run(func() { u.cancel(id) })
 			}
@@ -67,6 +67,15 @@
 	})
 }
 
+// usualWorkers is the fleet for which the pauses between submissions are meant; a larger one has
+// more users.
+const usualWorkers = 20
+
+// pause draws a time between two of the users' doings.
+func (u *users) pause(low, high time.Duration) time.Duration {
+	return u.w.rng.between(low, high) * usualWorkers / time.Duration(max(usualWorkers, u.w.opts.Workers))
+}
+
 // any draws one of the latest jobs.
 func (u *users) any() string {
 	u.mu.Lock()
