--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,7 +107,8 @@
 // seed rolls the version in production to this one.
 //
 // SOAK=1-50 plays other seeds, SOAK_S sets the seconds of trouble, SOAK_WORKERS the machines,
-// SOAK_AT_ONCE the runs at a time, SOAK_RACE=1 builds with the race detector.
+// SOAK_CALM_S how long all may take to end afterwards (a large fleet has many users, and the teams'
+// limits do not grow with it), SOAK_AT_ONCE the runs at a time, SOAK_RACE=1 builds with the race detector.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "frostdock")
@@ -138,7 +139,7 @@
 				}
 				soak(t, Options{
 					Seed: uint64(seed), Binary: binary, Before: before, Instance: slot, Workers: number(t, "SOAK_WORKERS", usualWorkers),
-					Trouble: time.Duration(number(t, "SOAK_S", 25)) * time.Second, Calm: 75 * time.Second,
+					Trouble: time.Duration(number(t, "SOAK_S", 25)) * time.Second, Calm: time.Duration(number(t, "SOAK_CALM_S", 75)) * time.Second,
 				})
 			})
 		}
