--- a/internal/api/submission_test.go
+++ b/internal/api/submission_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -78,10 +79,58 @@
 	}
 }
 
-// FuzzParse checks that whatever is accepted is in range and can be stored.
+// TestFieldNames sends names in other case, which are unknown fields, and names that stand twice, of
+// which the last one counts. The id of the job is always the one that was checked.
+func TestFieldNames(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, id, text string }{
+		{"known by exact name only", `"later":1`, `"CPUS":-1,"Crew":"","PIECES":"x","waitson":7`, "j-000412", ""},
+		{"other case is not the field", `"cpus":8.0`, `"CPUS":8.0`, "j-000412", "cpus: missing"},
+		{"other case is not the id", `"uid":"j-000412"`, `"UID":"j-000412"`, "", "uid: missing or not of the form j-000412"},
+		{"id in other case before", `"uid":"j-000412"`, `"Uid":"j-7","uid":"j-000412"`, "j-000412", ""},
+		{"id in other case after", `"later":1`, `"uiD":"j-7"`, "j-000412", ""},
+		{"long s is no s", `"cards":1.0`, `"card\u017f":1.0`, "j-000412", "cards: missing"},
+		{"escaped name is the name", `"cpus":8.0`, `"\u0063pus":8.0`, "j-000412", ""},
+		{"last id counts", `"later":1`, `"uid":"j-7"`, "j-7", ""},
+		{"last id counts, malformed", `"later":1`, `"uid":null`, "", "uid: missing or not of the form j-000412"},
+		{"last value counts", `"cpus":8.0`, `"cpus":"x","cpus":8.0`, "j-000412", ""},
+		{"last value counts, null", `"cpus":8.0`, `"cpus":8.0,"cpus":null`, "j-000412", "cpus: missing"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			job, id, err := Parse([]byte(strings.Replace(validSubmission, tc.old, tc.new, 1)))
+			if id != tc.id || tc.text == "" != (err == nil) || err != nil && err.Error() != tc.text {
+				t.Fatalf("id %q, %v; want %q, %q", id, err, tc.id, tc.text)
+			}
+			if err == nil && (job.ID != id || job.CPUs != 8 || job.Team != "vision" || job.Tasks != 16 || job.Needs != nil) {
+				t.Errorf("accepted %+v", job)
+			}
+		})
+	}
+}
+
+// TestFieldOfOtherType has a field of another type, which is told in the words of the JSON decoder, before
+// whatever else is wrong.
+func TestFieldOfOtherType(t *testing.T) {
+	for _, tc := range []struct{ old, new, text string }{
+		{`"sawS":240.0`, `"sawS":"long"`, "field: json: cannot unmarshal string into Go struct field submission.sawS of type float64"},
+		{`"pieces":16`, `"pieces":1.5`, "field: json: cannot unmarshal number 1.5 into Go struct field submission.pieces of type int"},
+		{`"later":1`, `"waitsOn":[398]`, "field: json: cannot unmarshal number into Go struct field submission.waitsOn of type string"},
+		{`"crew":"vision"`, `"crew":"","dueS":[]`, "field: json: cannot unmarshal array into Go struct field submission.dueS of type float64"},
+	} {
+		_, id, err := Parse([]byte(strings.Replace(validSubmission, tc.old, tc.new, 1)))
+		if err == nil || err.Error() != tc.text || id != "j-000412" {
+			t.Errorf("%s: id %q, %v", tc.new, id, err)
+		}
+	}
+}
+
+// FuzzParse checks that whatever is accepted is in range and can be stored, under the id that was
+// checked, and that it is what the body without its unknown fields says.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSubmission))
 	f.Add([]byte(`{"uid":"j-1"}`))
+	for _, replacement := range []string{`"UID":null`, `"UID":"x/y"`, `"uid":"j-7"`, `"uid":null`, `"CPUS":-1`, `"cpus":9`, `"waitsOn":["j-3"]`} {
+		f.Add([]byte(strings.Replace(validSubmission, `"later":1`, replacement, 1)))
+	}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		j, id, err := Parse(body)
 		if err != nil {
@@ -93,11 +142,47 @@
 		if _, err := json.Marshal(j); err != nil {
 			t.Fatal(err)
 		}
+		known, _, err := Parse(withoutUnknownFields(t, body))
+		if err != nil || !reflect.DeepEqual(known, j) {
+			t.Fatalf("accepted %+v; without unknown fields %+v, %v", j, known, err)
+		}
 	})
 }
 
+// withoutUnknownFields returns the body with the fields of a submission alone.
+func withoutUnknownFields(t *testing.T, body []byte) []byte {
+	t.Helper()
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(body, &all); err != nil {
+		t.Fatal(err)
+	}
+	known := map[string]json.RawMessage{}
+	for _, name := range []string{
+		"uid", "lot", "crew", "cut", "grade", "pieces", "cpus", "cards", "memoryGb", "pattern", "sizeGb", "stocks",
+		"yard", "samePlace", "spread", "loaners", "sawS", "stackS", "stowS", "dueS", "waitsOn",
+	} {
+		if value, ok := all[name]; ok {
+			known[name] = value
+		}
+	}
+	encoded, err := json.Marshal(known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
 // TestIDInOtherCase sends a second id whose name differs in case only: the JSON decoder takes it for the
 // same field. It must neither take the place of the checked id nor end the process.
+//
+// What happened: a controller that got "uid" and "UID":null ended with "invalid memory address or nil
+// pointer dereference" in (*submission).job, called by Parse, and so did the next one to which the user
+// repeated the submission. With a text in "UID" the job was accepted under that text, unchecked.
+//
+// Why: the body was read twice, by two rules. The id was checked in a map, whose names are exact; all
+// fields, the id again among them, were decoded into a struct, for which encoding/json also takes names
+// in other case. Two built controllers on loopback showed it: both sent no answer, and their logs held
+// the panic with that stack.
 func TestIDInOtherCase(t *testing.T) {
 	for _, second := range []string{`null`, `"x/y"`} {
 		body := strings.Replace(validSubmission, `"later":1`, `"UID":`+second, 1)
--- a/internal/server/http_test.go
+++ b/internal/server/http_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -78,6 +79,26 @@
 	}
 }
 
+// TestSubmissionOfTwoIDs sends, over loopback, a submission with a second id in other case, and repeats
+// it at a second controller as users do: both must answer and go on. Before, each ended with a nil
+// pointer (see TestIDInOtherCase of package api).
+func TestSubmissionOfTwoIDs(t *testing.T) {
+	const submission = `{"uid":"j-1","UID":%s,"lot":"a","crew":"b","cut":"array","grade":"urgent","pieces":1,"cpus":1,"cards":0,
+		"memoryGb":1,"pattern":"c","sizeGb":1,"samePlace":false,"spread":false,"loaners":false,"sawS":1,"stackS":0,"stowS":0}`
+	for range 2 {
+		s := newIsolatedServer(t, 100)
+		listener := listenOnLoopback(t)
+		go func() { _ = s.http.http.Serve(listener) }()
+		client := &fasthttp.HostClient{Addr: listener.Addr().String()}
+		for _, second := range []string{"null", `"x/y"`, `"j-2"`, "7"} {
+			resp := send(t, client, http.MethodPost, "/submissions", fmt.Sprintf(submission, second))
+			if resp.StatusCode() != http.StatusServiceUnavailable { // it has not reached its key-value store
+				t.Errorf("UID %s: %d", second, resp.StatusCode())
+			}
+		}
+	}
+}
+
 // TestNearConnLimit has more machines than the controller has sockets send heartbeats: once most
 // connections are taken, agents are told to close theirs, so that all of them get through in turn.
 func TestNearConnLimit(t *testing.T) {
