--- a/internal/api/submission_test.go
+++ b/internal/api/submission_test.go
@@ -114,7 +114,7 @@
 		{`"sawS":240.0`, `"sawS":"long"`, "field: json: cannot unmarshal string into Go struct field submission.sawS of type float64"},
 		{`"pieces":16`, `"pieces":1.5`, "field: json: cannot unmarshal number 1.5 into Go struct field submission.pieces of type int"},
 		{`"later":1`, `"waitsOn":[398]`, "field: json: cannot unmarshal number into Go struct field submission.waitsOn of type string"},
-		{`"crew":"vision"`, `"crew":"","dueS":[]`, "field: json: cannot unmarshal array into Go struct field submission.dueS of type float64"},
+		{`"crew":"vision","cut":"array"`, `"crew":"","cut":[]`, "field: json: cannot unmarshal array into Go struct field submission.cut of type string"},
 	} {
 		_, id, err := Parse([]byte(strings.Replace(validSubmission, tc.old, tc.new, 1)))
 		if err == nil || err.Error() != tc.text || id != "j-000412" {
