--- a/internal/controller/replica_test.go
+++ b/internal/controller/replica_test.go
@@ -61,3 +61,20 @@
 		t.Errorf("%d tasks are started", started)
 	}
 }
+
+// TestCorruptShardCount shows a replica a shard that says it is one of more than there can be, and looks a
+// name up: it ended the process with "index out of range". Such a document is left out, and what
+// it held before stays.
+func TestCorruptShardCount(t *testing.T) {
+	c, jobs := splitCase(t)
+	c.replica.apply(schema.JobShardKey(5), json.RawMessage(`{"of":9007199254740993}`), 20, false)
+	c.replica.apply(schema.MachineShardKey(3), json.RawMessage(`{"of":9007199254740993}`), 20, false)
+	c.replica.jobShardOf("j-2000000000")
+	if number := c.replica.jobShardOf(jobs[0].ID).number; number != 5 {
+		t.Errorf("job in shard %d", number)
+	}
+	if number := c.replica.machineShardOf("n-000003").number; number != 3 {
+		t.Errorf("machine in shard %d", number)
+	}
+	checkAccepted(t, c, jobs)
+}
--- /dev/null
+++ b/internal/schema/corrupt_test.go
@@ -0,0 +1,42 @@
+package schema
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// TestCorruptNumbers reads documents whose numbers no controller writes. Such a number was used as an
+// index or a length: the reading process ended with "index out of range" or for want of memory. Now
+// the document is unreadable, and the largest numbers that can be are read.
+func TestCorruptNumbers(t *testing.T) {
+	for _, tc := range []struct {
+		text string
+		into any
+		ok   bool
+	}{
+		{`{"of":65536}`, new(JobShard), true},
+		{`{"of":65537}`, new(JobShard), false},
+		{`{"of":-2}`, new(JobShard), false},
+		{`{"of":65536}`, new(MachineShard), true},
+		{`{"of":65537}`, new(MachineShard), false},
+		{`{"of":-2}`, new(MachineShard), false},
+		{`{"g":65536,"j":24}`, new(Layout), true},
+		{`{"g":65537,"j":24}`, new(Layout), false},
+		{`{"format":1,"groups":12,"shelves":9007199254740993}`, new(Layout), false},
+		{`"1:0-99999~1"`, new(Tasks), true},
+		{`"1:99999~1"`, new(Tasks), true},
+		{`"1:100000~1"`, new(Tasks), false},
+		{`"1:0-9007199254740993~1"`, new(Tasks), false},
+		{`"1:-4~1"`, new(Tasks), false},
+		{`"1:7-3~1"`, new(Tasks), false},
+	} {
+		if err := json.Unmarshal([]byte(tc.text), tc.into); (err == nil) != tc.ok {
+			t.Errorf("%T %s: %v", tc.into, tc.text, err)
+		}
+	}
+	for _, text := range []string{"100000", "0-9007199254740993", "-4", "7-3"} {
+		if _, err := ParseTaskSet(text); err == nil {
+			t.Errorf("task set %q was read", text)
+		}
+	}
+}
