--- a/internal/api/submission.go
+++ b/internal/api/submission.go
@@ -13,7 +13,7 @@
 // Limits of a submission.
 const (
 	MaxBodyBytes = 64 << 10 // of the request body
-	MaxTasks     = 100000   // of a job
+	MaxTasks     = schema.MaxTasks
 
 	maxTextLength     = 200
 	maxNumber         = 1e9
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -135,12 +135,12 @@
 	case strings.HasPrefix(key, schema.PartitionPrefix):
 		r.applyPartition(key, value, revision, deleted)
 	case strings.HasPrefix(key, schema.MachineShardPrefix):
-		if n, ok := numberAfterPrefix(key, schema.MachineShardPrefix, maxShards); ok && !deleted {
+		if n, ok := numberAfterPrefix(key, schema.MachineShardPrefix, schema.MaxShardCount); ok && !deleted {
 			r.growMachineShards(n + 1)
 			r.applyMachineShard(r.machineShards[n], value, revision)
 		}
 	case strings.HasPrefix(key, schema.JobShardPrefix):
-		if n, ok := numberAfterPrefix(key, schema.JobShardPrefix, maxShards); ok {
+		if n, ok := numberAfterPrefix(key, schema.JobShardPrefix, schema.MaxShardCount); ok {
 			r.growJobShards(n + 1)
 			r.applyJobShard(r.jobShards[n], value)
 		}
@@ -169,9 +169,6 @@
 	}
 }
 
-// maxShards is above any number of documents that a store can come to have.
-const maxShards = 1 << 16
-
 // numberAfterPrefix reads the number after a key's prefix; it must be below the limit.
 func numberAfterPrefix(key, prefix string, limit int) (int, bool) {
 	n, err := strconv.Atoi(strings.TrimPrefix(key, prefix))
--- a/internal/controller/replica_jobs.go
+++ b/internal/controller/replica_jobs.go
@@ -56,7 +56,7 @@
 	r.jobsByAge = nil
 	previous := s.jobIDs
 	s.jobIDs, s.size, s.splitCount = make([]string, 0, len(doc.Jobs)), len(value), doc.ShardCount
-	r.growJobShards(min(doc.ShardCount, maxShards))
+	r.growJobShards(doc.ShardCount)
 	r.jobShardCounts = withShardCount(r.jobShardCounts, doc.ShardCount)
 	listed := make(map[string]bool, len(doc.Jobs))
 	for i := range doc.Jobs {
--- a/internal/controller/replica_machines.go
+++ b/internal/controller/replica_machines.go
@@ -20,7 +20,7 @@
 		s.movedAt = r.env.now
 	}
 	s.revision, s.size, s.partition, s.handovers, s.splitCount = revision, len(value), doc.Partition, doc.Handovers, doc.ShardCount
-	r.growMachineShards(min(doc.ShardCount, maxShards))
+	r.growMachineShards(doc.ShardCount)
 	r.machineShardCounts = withShardCount(r.machineShardCounts, doc.ShardCount)
 	s.machines = make([]*machine, 0, len(doc.Machines))
 	for i := range doc.Machines {
--- a/internal/schema/layout.go
+++ b/internal/schema/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"strconv"
@@ -100,6 +101,17 @@
 	if doc.Format == FormatInitial {
 		l.MachineShards, l.JobShards = doc.InitialMachineShards, doc.InitialJobShards
 	}
+	return errors.Join(checkShardCount(l.MachineShards), checkShardCount(l.JobShards))
+}
+
+// MaxShardCount is above any number of machine shards or job shards that a store can come to have.
+const MaxShardCount = 1 << 16
+
+// checkShardCount refuses a count that only a corrupt document has.
+func checkShardCount(count int) error {
+	if count < 0 || count > MaxShardCount {
+		return fmt.Errorf("count of shards %d is not from 0 to %d", count, MaxShardCount)
+	}
 	return nil
 }
 
--- a/internal/schema/machine_shard.go
+++ b/internal/schema/machine_shard.go
@@ -71,6 +71,9 @@
 	if err := json.Unmarshal(raw, &decoded); err != nil {
 		return fmt.Errorf("decode machine shard: %w", err)
 	}
+	if err := checkShardCount(decoded.ShardCount); err != nil {
+		return err
+	}
 	for i := range decoded.Machines {
 		machine := &decoded.Machines[i]
 		if machine.KindIndex < 0 || machine.KindIndex >= len(decoded.Kinds) {
--- a/internal/schema/task_set.go
+++ b/internal/schema/task_set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 	"sort"
@@ -13,6 +14,12 @@
 // memory with the old ones. Its text form lists the ranges: "0-7,9".
 type TaskSet struct{ ranges []taskRange } // sorted, disjoint and not adjacent
 
+// MaxTasks is how many tasks a job may have.
+const MaxTasks = 100_000
+
+// errNoTaskRange is returned for numbers that no job has, or that are out of order.
+var errNoTaskRange = errors.New("no range of task numbers")
+
 // taskRange is the task numbers from first to last, both included.
 type taskRange struct{ first, last int }
 
@@ -35,12 +42,21 @@
 // parseTaskRange reads "3-7", or "3" for a single number.
 func parseTaskRange(text string) (taskRange, error) {
 	firstText, lastText, isRange := strings.Cut(text, "-")
+	if !isRange {
+		lastText = firstText
+	}
 	first, err := strconv.Atoi(firstText)
-	if err != nil || !isRange {
-		return taskRange{first, first}, err
+	if err != nil {
+		return taskRange{}, err
 	}
 	last, err := strconv.Atoi(lastText)
-	return taskRange{first, last}, err
+	if err != nil {
+		return taskRange{}, err
+	}
+	if first < 0 || last < first || last >= MaxTasks {
+		return taskRange{}, errNoTaskRange
+	}
+	return taskRange{first, last}, nil
 }
 
 // appendTo appends the form that parseTaskRange reads.
