--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -153,6 +153,14 @@
 	return nil
 }
 
+// mixChanges makes answers of watches tell only the newest change of each key, in any order.
+type mixChanges struct{ duration units.Micros }
+
+func (f mixChanges) apply(w *World) error {
+	w.store.mixChanges(f.duration)
+	return nil
+}
+
 // loseWatches makes a controller's watches tell nothing; all else is answered.
 type loseWatches struct {
 	name     string
--- a/internal/simulator/parser_steps.go
+++ b/internal/simulator/parser_steps.go
@@ -50,8 +50,9 @@
 	"slow_state": faultStep(func(args *arguments, duration units.Micros) step {
 		return slowStore{args.duration("by", 0.5), duration}
 	}),
-	"blind":        faultStep(func(args *arguments, duration units.Micros) step { return loseWatches{args.word(0), duration} }),
-	"cloud_outage": faultStep(func(_ *arguments, duration units.Micros) step { return cloudOutage{duration} }),
+	"blind":         faultStep(func(args *arguments, duration units.Micros) step { return loseWatches{args.word(0), duration} }),
+	"mixed_changes": faultStep(func(_ *arguments, duration units.Micros) step { return mixChanges{duration} }),
+	"cloud_outage":  faultStep(func(_ *arguments, duration units.Micros) step { return cloudOutage{duration} }),
 
 	"cancel_at_end": faultStep(func(args *arguments, duration units.Micros) step {
 		return cancelAtEnd{args.number("share", 0.5), duration}
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -47,6 +47,7 @@
 	watchesLostUntil map[string]units.Micros // by controller
 	lateCommitRate   float64                 // chance that a transaction gets no answer and is committed late
 	averageDelay     units.Micros            // how much longer than usual each answer takes
+	mixedUntil       units.Micros            // answers of watches tell the newest change of each key, in any order
 }
 
 type storedValue struct {
@@ -121,6 +122,9 @@
 	s.watchesLostUntil[caller] = s.world.now + duration
 }
 
+// mixChanges makes answers of watches tell only the newest change of each key, in any order, for a while.
+func (s *fakeStore) mixChanges(duration units.Micros) { s.mixedUntil = s.world.now + duration }
+
 // commitLate leaves some transactions without an answer for a while, and commits them seconds later.
 func (s *fakeStore) commitLate(rate float64, duration units.Micros) {
 	s.lateCommitRate = rate
--- a/internal/simulator/store_watch.go
+++ b/internal/simulator/store_watch.go
@@ -72,5 +72,22 @@
 			changes = append(changes, *change)
 		}
 	}
+	if s.world.now < s.mixedUntil {
+		changes = s.mixed(changes)
+	}
 	return changes
 }
+
+// mixed gives the newest change of each key, in any order.
+func (s *fakeStore) mixed(changes []kv.Event) []kv.Event {
+	var newest []kv.Event
+	told := map[string]bool{}
+	for _, change := range slices.Backward(changes) {
+		if key := change.Set + change.Delete; !told[key] {
+			told[key] = true
+			newest = append(newest, change)
+		}
+	}
+	s.world.rng.Shuffle(len(newest), func(i, j int) { newest[i], newest[j] = newest[j], newest[i] })
+	return newest
+}
--- a/internal/simulator/upgrade_days_test.go
+++ b/internal/simulator/upgrade_days_test.go
@@ -19,6 +19,16 @@
 	}
 }
 
+// TestMixedChanges plays random days of upgrades, with splits of documents, on which the changes of an
+// answer come in any order.
+func TestMixedChanges(t *testing.T) { runSeeds(t, mixedChangesDay, "MIXED", 6) }
+
+// mixedChangesDay writes a day of an upgrade on which answers of watches tell the newest change of each key,
+// in any order.
+func mixedChangesDay(seed uint64) string {
+	return rollingUpgradeDay(seed) + "at 5 mixed_changes for=500\n"
+}
+
 // rollingUpgradeDay writes a day that begins with the previous version: its controllers are crashed one
 // after the other and come back upgraded. Afterwards users submit jobs with dependencies, and the limits
 // of the key-value store fall without notice. Faults coincide all the while.
