--- a/internal/api/submission.go
+++ b/internal/api/submission.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"reflect"
 	"regexp"
 
 	"frostdock.example/frostdock/internal/schema"
@@ -35,6 +36,31 @@
 // ValidJobID reports whether id has the form of a job id.
 func ValidJobID(id string) bool { return jobIDPattern.MatchString(id) }
 
+// submission is the body of a submission but for the job's id; pointers tell a missing field from a zero.
+// It is decoded by decode, not by encoding/json, which would also take names in other case.
+type submission struct {
+	Class                     *string  `json:"lot"`
+	Team                      *string  `json:"crew"`
+	Kind                      *string  `json:"cut"`
+	Priority                  *string  `json:"grade"`
+	Tasks                     *int     `json:"pieces"`
+	CPUs                      *float64 `json:"cpus"`
+	GPUs                      *float64 `json:"cards"`
+	MemGB                     *float64 `json:"memoryGb"`
+	Image                     *string  `json:"pattern"`
+	ImageGB                   *float64 `json:"sizeGb"`
+	Types                     []string `json:"stocks"`
+	Zone                      *string  `json:"yard"`
+	OneZone                   *bool    `json:"samePlace"`
+	Spread                    *bool    `json:"spread"`
+	Spot                      *bool    `json:"loaners"`
+	EstimatedSeconds          *float64 `json:"sawS"`
+	CheckpointIntervalSeconds *float64 `json:"stackS"`
+	CheckpointSeconds         *float64 `json:"stowS"`
+	DeadlineSeconds           *float64 `json:"dueS"`
+	Needs                     []string `json:"waitsOn"`
+}
+
 // Parse decodes a submission. Errors are of type *MalformedError. When the body is malformed but
 // its id can be read, the id is returned with the error: a repeat of a known job is answered
 // by its id, whatever else the body says.
@@ -47,20 +73,24 @@
 	if err != nil {
 		return nil, "", err
 	}
-	job, err := fields.job(id)
+	var request submission
+	if err := request.decode(fields); err != nil {
+		return nil, id, err
+	}
+	job, err := request.job(id)
 	if err != nil {
 		return nil, id, err
 	}
 	return job, id, nil
 }
 
-// fields is the body of a submission, read once: values by the exact names of the fields. Decoding a
-// struct instead would take names in other case for the same field (encoding/json does), and what one
-// check has read another could read differently. Of a name that stands twice the last value counts.
-type fields map[string]json.RawMessage
+// rawFields is a body read once: values by the exact names of the fields. All that is checked and used is
+// taken from here, so that no two parts of the program can read the body differently. Of a name that
+// stands twice the last value counts.
+type rawFields map[string]json.RawMessage
 
 // parseFields reads a body that is one JSON object, whatever is in it.
-func parseFields(body []byte) (fields, error) {
+func parseFields(body []byte) (rawFields, error) {
 	if len(body) > MaxBodyBytes {
 		return nil, &MalformedError{Reason: "body over 64 KiB"}
 	}
@@ -79,7 +109,7 @@
 }
 
 // jobID reads the id of the job.
-func (f fields) jobID() (string, error) {
+func (f rawFields) jobID() (string, error) {
 	var id string
 	if err := json.Unmarshal(f["uid"], &id); err != nil || !ValidJobID(id) {
 		return "", &MalformedError{Field: "uid", Reason: "missing or not of the form j-000412"}
@@ -87,36 +117,59 @@
 	return id, nil
 }
 
-// job checks all fields but the id and returns the job, or an error for the first field that is wrong.
-// The order of the checks decides which field that is; one of another JSON type comes before all others.
-func (f fields) job(id string) (*schema.Job, error) {
-	check := validator{fields: f}
+// decode takes the fields by the exact names in the tags of s, or returns an error for the first one of
+// another JSON type.
+func (s *submission) decode(fields rawFields) error {
+	target := reflect.ValueOf(s).Elem()
+	for i := range target.NumField() {
+		name := target.Type().Field(i).Tag.Get("json")
+		raw, present := fields[name]
+		if !present {
+			continue
+		}
+		if err := json.Unmarshal(raw, target.Field(i).Addr().Interface()); err != nil {
+			var typeError *json.UnmarshalTypeError
+			if errors.As(err, &typeError) { // as the decoder tells of the field of a struct
+				typeError.Struct, typeError.Field = target.Type().Name(), name
+			}
+			return &MalformedError{Reason: "field", Err: err}
+		}
+	}
+	return nil
+}
+
+// job checks all fields and returns the job, or an error for the first field that is wrong. The
+// order of the checks decides which field that is.
+func (s *submission) job(id string) (*schema.Job, error) {
+	var check validator
 	job := &schema.Job{
 		ID:                        id,
-		Class:                     check.text("lot"),
-		Team:                      check.text("crew"),
-		Image:                     check.text("pattern"),
-		CPUs:                      check.number("cpus"),
-		GPUs:                      check.number("cards"),
-		MemGB:                     check.number("memoryGb"),
-		ImageGB:                   check.number("sizeGb"),
-		EstimatedSeconds:          check.number("sawS"),
-		CheckpointIntervalSeconds: check.number("stackS"),
-		CheckpointSeconds:         check.number("stowS"),
-		DeadlineSeconds:           check.optionalNumber("dueS"),
-		OneZone:                   check.flag("samePlace"),
-		Spread:                    check.flag("spread"),
-		Spot:                      check.flag("loaners"),
+		Class:                     check.text("lot", s.Class),
+		Team:                      check.text("crew", s.Team),
+		Image:                     check.text("pattern", s.Image),
+		CPUs:                      check.number("cpus", s.CPUs),
+		GPUs:                      check.number("cards", s.GPUs),
+		MemGB:                     check.number("memoryGb", s.MemGB),
+		ImageGB:                   check.number("sizeGb", s.ImageGB),
+		EstimatedSeconds:          check.number("sawS", s.EstimatedSeconds),
+		CheckpointIntervalSeconds: check.number("stackS", s.CheckpointIntervalSeconds),
+		CheckpointSeconds:         check.number("stowS", s.CheckpointSeconds),
+		DeadlineSeconds:           check.optionalNumber("dueS", s.DeadlineSeconds),
+		OneZone:                   check.flag("samePlace", s.OneZone),
+		Spread:                    check.flag("spread", s.Spread),
+		Spot:                      check.flag("loaners", s.Spot),
 	}
 	check.require(job.CPUs != 0, "cpus", "must be above 0")
-	job.Service = check.service("cut")
-	job.Priority = check.priority("grade")
-	job.Tasks = check.taskCount("pieces")
-	job.Types = check.typeNames("stocks")
-	job.Zone = check.optionalText("yard")
-	job.Needs = check.jobIDs("waitsOn")
-	if err := check.err(); err != nil {
-		return nil, err
+	job.Service = check.service("cut", s.Kind)
+	job.Priority = check.priority("grade", s.Priority)
+	job.Tasks = check.taskCount("pieces", s.Tasks)
+	job.Types = check.typeNames("stocks", s.Types)
+	if s.Zone != nil {
+		job.Zone = check.text("yard", s.Zone)
+	}
+	job.Needs = check.jobIDs("waitsOn", s.Needs)
+	if check.first != nil {
+		return nil, check.first
 	}
 	return job, nil
 }
--- a/internal/api/validator.go
+++ b/internal/api/validator.go
@@ -1,30 +1,14 @@
 package api
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
+	"math"
 	"slices"
 )
 
 // validator reads the fields of a submission and keeps the error of the first one that is wrong.
 // Its methods return the value of a field; after an error the value means nothing.
-type validator struct {
-	fields   fields
-	mistyped *MalformedError // the first field of another JSON type
-	first    *MalformedError // the first field that is wrong otherwise
-}
-
-// err returns the error that users are told, or nil.
-func (v *validator) err() error {
-	switch {
-	case v.mistyped != nil:
-		return v.mistyped
-	case v.first != nil:
-		return v.first
-	}
-	return nil
-}
+type validator struct{ first *MalformedError }
 
 // require notes an error unless the condition holds or one has been noted before.
 func (v *validator) require(condition bool, field, reason string) {
@@ -33,95 +17,66 @@
 	}
 }
 
-// lookup reads a field. It is missing if it is not there, null, or of another type.
-func lookup[T any](v *validator, field string) (value T, ok bool) {
-	raw, ok := v.fields[field]
-	if !ok || string(raw) == "null" {
-		return value, false
-	}
-	if err := json.Unmarshal(raw, &value); err != nil {
-		v.requireType(field, err)
-		return value, false
-	}
-	return value, true
-}
-
-// requireType notes that a field is of another type, in the words that the decoder has for the field
-// of a struct.
-func (v *validator) requireType(field string, err error) {
-	var typeError *json.UnmarshalTypeError
-	if errors.As(err, &typeError) {
-		typeError.Struct, typeError.Field = "submission", field
-	}
-	if v.mistyped == nil {
-		v.mistyped = &MalformedError{Reason: "field", Err: err}
-	}
-}
-
 // text reads a field that must be there and not be empty.
-func (v *validator) text(field string) string {
-	value, ok := lookup[string](v, field)
-	if !ok || value == "" || len(value) > maxTextLength {
+func (v *validator) text(field string, value *string) string {
+	if value == nil || *value == "" || len(*value) > maxTextLength {
 		v.require(false, field, "missing, empty or too long")
 		return ""
 	}
-	return value
-}
-
-// optionalText reads a field that must not be empty if it is there.
-func (v *validator) optionalText(field string) string {
-	if _, ok := lookup[string](v, field); !ok {
-		return ""
-	}
-	return v.text(field)
+	return *value
 }
 
 // number reads a field that must be there and not be negative.
-func (v *validator) number(field string) float64 {
-	_, ok := lookup[float64](v, field)
-	v.require(ok, field, "missing")
-	return v.optionalNumber(field)
+func (v *validator) number(field string, value *float64) float64 {
+	v.require(value != nil, field, "missing")
+	return v.optionalNumber(field, value)
 }
 
 // optionalNumber reads a field that must not be negative; 0 if it is missing.
-func (v *validator) optionalNumber(field string) float64 {
-	value, _ := lookup[float64](v, field)
-	v.require(value >= 0 && value <= maxNumber, field, "out of range")
-	return value
+func (v *validator) optionalNumber(field string, value *float64) float64 {
+	if value == nil {
+		return 0
+	}
+	inRange := *value >= 0 && *value <= maxNumber && !math.IsNaN(*value)
+	v.require(inRange, field, "out of range")
+	return *value
 }
 
 // flag reads a field that must be there.
-func (v *validator) flag(field string) bool {
-	value, ok := lookup[bool](v, field)
-	v.require(ok, field, "missing")
-	return value
+func (v *validator) flag(field string, value *bool) bool {
+	if value == nil {
+		v.require(false, field, "missing")
+		return false
+	}
+	return *value
 }
 
 // service reads the kind of a job: whether it is a service, and not an array.
-func (v *validator) service(field string) bool {
-	kind := v.text(field)
+func (v *validator) service(field string, value *string) bool {
+	kind := v.text(field, value)
 	v.require(kind == kindArray || kind == kindService, field, "unknown")
 	return kind == kindService
 }
 
 // priority reads the rank of a priority.
-func (v *validator) priority(field string) int {
-	rank, known := priorities[v.text(field)]
+func (v *validator) priority(field string, value *string) int {
+	rank, known := priorities[v.text(field, value)]
 	v.require(known, field, "unknown")
 	return rank
 }
 
 // taskCount reads how many tasks a job has.
-func (v *validator) taskCount(field string) int {
-	value, ok := lookup[int](v, field)
-	v.require(ok && value >= 1 && value <= MaxTasks, field, "missing or not from 1 to 100000")
-	return value
+func (v *validator) taskCount(field string, value *int) int {
+	if value == nil || *value < 1 || *value > MaxTasks {
+		v.require(false, field, "missing or not from 1 to 100000")
+		return 0
+	}
+	return *value
 }
 
 // typeNames reads the allowed machine types; a list that is missing allows all.
-func (v *validator) typeNames(field string) []string {
-	names, ok := lookup[[]string](v, field)
-	v.require(!ok || len(names) > 0, field, "empty")
+func (v *validator) typeNames(field string, names []string) []string {
+	v.require(names == nil || len(names) > 0, field, "empty")
 	v.require(len(names) <= maxTypes, field, "too many")
 	for _, name := range names {
 		v.require(name != "" && len(name) <= maxTypeNameLength, field, "bad name")
@@ -130,8 +85,7 @@
 }
 
 // jobIDs reads the ids of jobs, each once.
-func (v *validator) jobIDs(field string) []string {
-	ids, _ := lookup[[]string](v, field)
+func (v *validator) jobIDs(field string, ids []string) []string {
 	invalid := func(id string) bool { return !ValidJobID(id) }
 	if i := slices.IndexFunc(ids, invalid); i >= 0 {
 		v.require(false, field, fmt.Sprintf("%q is not of the form j-000412", ids[i]))
--- a/internal/controller/accepts.go
+++ b/internal/controller/accepts.go
@@ -93,16 +93,24 @@
 	}
 }
 
-// takePending empties the queue, and returns the submissions whose users still wait, by job shard.
+// takePending takes from the queue the submissions whose users still wait, by job shard. Those whose job
+// shard was not shown yet stay: in any other one they would not be found again.
 func (q *acceptQueue) takePending() map[*jobShard][]pendingAccept {
 	pending := map[*jobShard][]pendingAccept{}
+	var waiting []pendingAccept
 	for _, accept := range q.pending {
-		if q.users.isOpen(accept.requestID) {
-			shard := q.replica.jobShardOf(accept.job.ID)
-			pending[shard] = append(pending[shard], accept)
+		if !q.users.isOpen(accept.requestID) {
+			continue
+		}
+		owner, shown := q.replica.jobDirectory.owner(accept.job.ID)
+		if !shown {
+			waiting = append(waiting, accept)
+			continue
 		}
+		shard := q.replica.jobShards[owner]
+		pending[shard] = append(pending[shard], accept)
 	}
-	q.pending = nil
+	q.pending = waiting
 	return pending
 }
 
--- a/internal/controller/audit.go
+++ b/internal/controller/audit.go
@@ -123,7 +123,7 @@
 	entries := m.entriesByAttempt()
 	for _, command := range commands {
 		entry, entered := entries[attemptKey{command.Task, command.Attempt}]
-		if a.checkCommand(m, command, a.facts.ofTask(entry), entered, permissions) {
+		if a.checkCommand(m, command, a.facts.ofTask(m, entry), entered, permissions) {
 			allowed = append(allowed, command)
 		}
 	}
@@ -209,7 +209,7 @@
 func (a *audit) checkRelease(m *machine, task schema.Task) bool {
 	reason := guard.ReleaseMachineDeleted // with its machine; there may be no agent to know more
 	if !m.deleted {
-		reason = a.facts.ofTask(task).MayRelease(a.facts.ofPresence(m, task))
+		reason = a.facts.ofTask(m, task).MayRelease(a.facts.ofPresence(m, task))
 	}
 	if reason == guard.KeepEntry {
 		a.reportViolation(invariantRelease, "task", keyOf(task).task(), "attempt", task.Attempt, "machine", m.name)
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -36,7 +36,7 @@
 		commands:    []agent.Command{},
 	}
 	for _, task := range p.entriesByPriority(m) {
-		if facts := p.facts.ofTask(task); facts.MustStop() == guard.KeepRunning {
+		if facts := p.facts.ofTask(m, task); facts.MustStop() == guard.KeepRunning {
 			list.start(task, facts)
 		} else {
 			list.stop(task)
--- a/internal/controller/facts.go
+++ b/internal/controller/facts.go
@@ -15,10 +15,14 @@
 }
 
 // ofTask gathers what is known of a task that is entered on a machine.
-func (f *factSource) ofTask(task schema.Task) guard.TaskFacts {
+func (f *factSource) ofTask(m *machine, task schema.Task) guard.TaskFacts {
 	j := f.replica.acceptedJob(task.Job)
 	if j == nil {
-		return guard.TaskFacts{}
+		return guard.TaskFacts{
+			NotProvenOver: !f.replica.provenOver(task.Job, m.entriesSeen[keyOf(task)].revision),
+			Cancelled:     f.replica.knownCancelled(task.Job),
+			StopRequested: task.StopMode > 0,
+		}
 	}
 	return guard.TaskFacts{
 		Accepted:         true,
@@ -51,18 +55,36 @@
 	}
 }
 
+// countUndecided counts the tasks entered on machines that this controller commands whose jobs are neither
+// shown nor proven to be over: their entries stay until one or the other is.
+func (f *factSource) countUndecided() int {
+	undecided := 0
+	for _, m := range f.replica.machines {
+		if m.agent == nil {
+			continue
+		}
+		for _, task := range m.doc.Tasks {
+			if f.ofTask(m, task).NotProvenOver {
+				undecided++
+			}
+		}
+	}
+	return undecided
+}
+
 // quiesced reports whether no command can still start a task on a machine.
 func (f *factSource) quiesced(m *machine) bool { return f.replica.quiesced(m, f.now) }
 
 // shouldRun reports whether a task that is entered on a machine should run there.
-func (f *factSource) shouldRun(task schema.Task) bool {
-	return f.ofTask(task).MustStop() == guard.KeepRunning
+func (f *factSource) shouldRun(m *machine, task schema.Task) bool {
+	facts := f.ofTask(m, task)
+	return facts.Accepted && facts.MustStop() == guard.KeepRunning
 }
 
 // mayRelease reports whether a task that is entered on a machine is certainly not, or no longer, active
 // there, so that its entry may go.
 func (f *factSource) mayRelease(m *machine, task schema.Task) bool {
-	return f.ofTask(task).MayRelease(f.ofPresence(m, task)) != guard.KeepEntry
+	return f.ofTask(m, task).MayRelease(f.ofPresence(m, task)) != guard.KeepEntry
 }
 
 // facts gathers what is known of a job of a led partition; outcome is its stored one, if there is one.
--- a/internal/controller/freshness.go
+++ b/internal/controller/freshness.go
@@ -103,9 +103,10 @@
 }
 
 // releaseWaiters releases what waited for a revision that the replica has reached by its watch. All
-// proofs are taken before the first waiter runs.
+// proofs are taken before the first waiter runs. A replica that has just been loaded anew proves nothing
+// before it is complete: it has pages of different revisions.
 func (f *freshness) releaseWaiters() {
-	if !f.replica.synced {
+	if !f.replica.complete() {
 		return
 	}
 	var due, rest []revisionWaiter
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -11,6 +11,8 @@
 type job struct {
 	id                 string
 	accepted           bool
+	left               bool      // it was accepted, and its shard was shown to have dropped it
+	shard              *jobShard // that lists it; nil: none that was shown does
 	spec               schema.Job
 	done               schema.TaskSet   // tasks whose completion is stored
 	storedRanges       string           // these, as they are stored
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -17,7 +17,13 @@
 	deleted     bool         // the cloud has confirmed its deletion: the entry may go
 	occupancies [2]occupancy // kept for plans: as another controller sees it, and as its commander does
 
-	entrySeenAt map[taskKey]units.Micros // when each task of its entry was first seen there
+	entriesSeen map[taskKey]entrySeen // since when each task is in its entry, as this controller sees it
+}
+
+// entrySeen is when a task was first seen in a machine's entry, and in the document of which revision.
+type entrySeen struct {
+	at       units.Micros
+	revision uint64
 }
 
 // noPartition is the partition of a machine that nobody commands any more.
--- a/internal/controller/plan_outcomes.go
+++ b/internal/controller/plan_outcomes.go
@@ -77,7 +77,10 @@
 // canRemoveJob reports whether what removes a job fits into the plan.
 func (p *plan) canRemoveJob(j *job) bool {
 	const outcomeBytes = 300 // an upper estimate
-	shard := p.replica.jobShardOf(j.id)
+	shard := j.shard
+	if shard == nil { // the job shard that it has gone to was not shown yet
+		return false
+	}
 	changes, bytes := 1, outcomeBytes
 	if p.joint.removedJobs[shard] == nil {
 		changes++
@@ -90,7 +93,7 @@
 // removeJob removes a job from its job shard; its outcome is stored, or goes with it. Its progress goes
 // when its segment is next written; while changes are plentiful, at once.
 func (p *plan) removeJob(j *job) {
-	shard := p.replica.jobShardOf(j.id)
+	shard := j.shard
 	if p.joint.removedJobs[shard] == nil {
 		p.joint.removedJobs[shard] = map[string]bool{}
 		p.budget.takeJoint()
--- a/internal/controller/plan_registrations.go
+++ b/internal/controller/plan_registrations.go
@@ -37,8 +37,11 @@
 func (p *plan) unregisteredByShard() map[*machineShard][]string {
 	namesByShard := map[*machineShard][]string{}
 	for _, name := range p.agents.confirmedRegistrations() {
-		shard := p.replica.machineShardOf(name)
-		namesByShard[shard] = append(namesByShard[shard], name)
+		owner, shown := p.replica.machineDirectory.owner(name)
+		if shown {
+			shard := p.replica.machineShards[owner]
+			namesByShard[shard] = append(namesByShard[shard], name)
+		}
 	}
 	return namesByShard
 }
--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -201,6 +201,10 @@
 		t.Errorf("of another controller's machine: %d kept, %d active, %+v used", len(o.kept), o.active, o.used)
 	}
 	m.agent = &agentState{leaseEnd: c.now + units.Second}
+	if o = p.occupancyOf(m, true); len(o.kept) != 3 { // nothing proves yet that the second job is over
+		t.Errorf("of an own machine, a job not shown: %d kept", len(o.kept))
+	}
+	c.replica.outcomes.put("j-000002", schema.Outcome{State: StageDone})
 	o = p.occupancyOf(m, true)
 	if len(o.kept) != 2 || o.active != 2 || o.used != (resources{4, 0, 2}) {
 		t.Errorf("of an own machine: %d kept, %d active, %+v used", len(o.kept), o.active, o.used)
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		j := p.replica.jobs[task.Job]
-		if j == nil || !j.accepted || !p.facts.shouldRun(task) || m.stops[key] > 0 || !rule.eligible(j) {
+		if j == nil || !j.accepted || !p.facts.shouldRun(m.machine, task) || m.stops[key] > 0 || !rule.eligible(j) {
 			continue
 		}
 		loss := p.workLost(m.machine, j, key)
@@ -143,7 +143,7 @@
 func (p *plan) workLost(m *machine, j *job, key taskKey) float64 {
 	var began units.Micros
 	if m.agent == nil {
-		began = m.entrySeenAt[key]
+		began = m.entriesSeen[key].at
 	} else if run, runs := m.agent.runningSince[key]; runs {
 		began = run.at
 	} else {
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -39,7 +39,10 @@
 	machines          map[string]*machine
 	everSeen          map[string]bool // names of all machines that were seen here
 	machinesByName    []*machine      // sorted; nil when machines has changed
+	unlocatedMachines map[string]bool // whose shard, since a split, was not shown yet
 	jobs              map[string]*job
+	unlocatedJobs     map[string]bool // the same of jobs
+	unlocatedLog      period
 	jobShards         []*jobShard
 	jobsByAge         []*job // accepted jobs, the oldest first; nil when they have changed
 	progressSegments  map[string]*progressSegment
@@ -48,12 +51,12 @@
 	maxProgressGaps   int // that the stored progress of a job may have
 	firstRented       *schema.FirstMachine
 
-	defaultPartition   func(shard int) int // the partition of a machine shard that has no document yet
-	layoutKnown        bool                // the store's own layout is known
-	layout             schema.Layout
-	machineShardCounts []int // into how many some machine shard says that they were split, the largest first
-	jobShardCounts     []int
-	format             int // of the documents, as the store says
+	defaultPartition func(shard int) int // the partition of a machine shard that has no document yet
+	layoutKnown      bool                // the store's own layout is known
+	layout           schema.Layout
+	machineDirectory shardDirectory
+	jobDirectory     shardDirectory
+	format           int // of the documents, as the store says
 }
 
 // replicaObserver is told of changes that concern more than the replica.
@@ -91,10 +94,13 @@
 		registeredSince: map[string]units.Micros{}, registeredFormats: map[string]int{},
 		partitions: map[int]*partitionDoc{},
 		machines:   map[string]*machine{}, everSeen: map[string]bool{},
+		unlocatedMachines: map[string]bool{}, unlocatedJobs: map[string]bool{},
 		jobs: map[string]*job{}, progressSegments: map[string]*progressSegment{},
 		outcomes: newOutcomeCache(maxOutcomes), dependencies: dag.New(),
 		maxProgressGaps: maxProgressGaps, defaultPartition: defaultPartition,
 	}
+	r.machineDirectory = newShardDirectory(func(shard int) int { return r.machineShards[shard].splitCount })
+	r.jobDirectory = newShardDirectory(func(shard int) int { return r.jobShards[shard].splitCount })
 	r.useLayout(layout)
 	return r
 }
@@ -142,7 +148,7 @@
 	case strings.HasPrefix(key, schema.JobShardPrefix):
 		if n, ok := numberAfterPrefix(key, schema.JobShardPrefix, schema.MaxShardCount); ok {
 			r.growJobShards(n + 1)
-			r.applyJobShard(r.jobShards[n], value)
+			r.applyJobShard(r.jobShards[n], value, revision)
 		}
 	case strings.HasPrefix(key, schema.ProgressPrefix):
 		r.applyProgressSegment(key, value)
--- a/internal/controller/replica_jobs.go
+++ b/internal/controller/replica_jobs.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -47,70 +48,117 @@
 	r.observer.jobCancelled(id)
 }
 
-// applyJobShard takes a job shard's new contents; none when it was deleted.
-func (r *replica) applyJobShard(s *jobShard, value json.RawMessage) {
-	var doc schema.JobShard
-	if len(value) > 0 && !r.env.decode(s.key, value, &doc) {
-		return
+// applyJobShard takes a job shard's new contents. One that was deleted owns its names all the same, and
+// lists none.
+func (r *replica) applyJobShard(s *jobShard, value json.RawMessage, revision uint64) {
+	doc := schema.JobShard{ShardCount: s.splitCount}
+	if len(value) > 0 {
+		doc.ShardCount = 0
+		if !r.env.decode(s.key, value, &doc) {
+			return
+		}
 	}
 	r.jobsByAge = nil
-	previous := s.jobIDs
-	s.jobIDs, s.size, s.splitCount = make([]string, 0, len(doc.Jobs)), len(value), doc.ShardCount
+	awaited := r.unlist(s)
+	s.jobIDs, s.size, s.splitCount, s.revision = make([]string, 0, len(doc.Jobs)), len(value), doc.ShardCount, revision
 	r.growJobShards(doc.ShardCount)
-	r.jobShardCounts = withShardCount(r.jobShardCounts, doc.ShardCount)
-	listed := make(map[string]bool, len(doc.Jobs))
+	r.jobDirectory.note(s.number, doc.ShardCount)
 	for i := range doc.Jobs {
-		spec := &doc.Jobs[i]
-		s.jobIDs = append(s.jobIDs, spec.ID)
-		listed[spec.ID] = true
-		r.acceptJob(spec)
-	}
-	for _, id := range previous {
-		if !listed[id] && !r.jobMovedToSplit(s, id) {
-			r.removeJob(id)
+		if spec := &doc.Jobs[i]; !r.jobDirectory.isOld(spec.ID, s.number, revision) {
+			r.listJob(spec, s)
 		}
 	}
+	r.locateJobs(awaited)
+	if len(r.unlocatedJobs) > 0 {
+		r.locateJobs(slices.Sorted(maps.Keys(r.unlocatedJobs)))
+	}
+}
+
+// unlist takes all jobs off the list of a shard, and returns their ids.
+func (r *replica) unlist(s *jobShard) []string {
+	for _, id := range s.jobIDs {
+		r.jobs[id].shard = nil
+	}
+	return s.jobIDs
 }
 
-// acceptJob enters a job that a job shard lists, if it is not known as accepted yet.
-func (r *replica) acceptJob(spec *schema.Job) {
+// listJob enters a job that a job shard lists.
+func (r *replica) listJob(spec *schema.Job, s *jobShard) {
 	j := r.job(spec.ID)
-	if j.accepted {
-		return
+	if j.shard != nil && j.shard != s {
+		j.shard.jobIDs = slices.DeleteFunc(j.shard.jobIDs, func(id string) bool { return id == j.id })
+	}
+	if j.shard != s { // a document lists a job once
+		s.jobIDs = append(s.jobIDs, j.id)
+	}
+	j.shard = s
+	delete(r.unlocatedJobs, j.id)
+	if !j.accepted {
+		r.acceptJob(j, spec)
 	}
-	j.spec, j.accepted = *spec, true
+}
+
+// acceptJob enters a job among the accepted ones.
+func (r *replica) acceptJob(j *job, spec *schema.Job) {
+	j.spec, j.accepted, j.left = *spec, true, false
 	j.partition = r.env.partitionOf(spec.Team)
 	j.forgetOccupancies()
 	r.observer.jobAccepted(j)
 }
 
-// removeJob takes a job out that no job shard lists any more.
-func (r *replica) removeJob(id string) {
-	j := r.jobs[id]
-	if j == nil {
-		return
+// locateJobs looks at accepted jobs that no job shard lists at present: one whose owner is shown is over,
+// any other waits for its owner.
+func (r *replica) locateJobs(ids []string) {
+	for _, id := range ids {
+		j := r.jobs[id]
+		if j == nil || !j.accepted || j.shard != nil {
+			continue
+		}
+		if owner, shown := r.jobDirectory.owner(id); shown {
+			r.jobDirectory.noteLeft(id, r.jobShards[owner].revision)
+			r.removeJob(j)
+		} else {
+			r.unlocatedJobs[id] = true
+		}
 	}
-	j.accepted = false
+}
+
+// removeJob takes a job out that has left the accepted ones. Whoever removed it from its shard had stored
+// its outcome, or did so in the same transaction.
+func (r *replica) removeJob(j *job) {
+	j.accepted, j.left = false, true
+	delete(r.unlocatedJobs, j.id)
 	j.forgetOccupancies()
 	r.observer.jobRemoved(j)
 	r.dropIfUnused(j)
 }
 
-// jobMovedToSplit reports whether a job that a job shard lists no more went with a part that was
-// split off. That part is shown next, if it has not been shown yet.
-func (r *replica) jobMovedToSplit(from *jobShard, id string) bool {
-	if r.jobs[id] == nil || from.splitCount == 0 || schema.JobShardIndex(id, from.splitCount) == from.number {
-		return false
+// provenOver reports whether a job that is not among the accepted ones is known to be over, and not just
+// not shown yet. That an id is absent proves nothing by itself; it does if
+//   - the shard that owns the id was shown to have dropped it, or
+//   - its outcome "done" is known: one that is cancelled may still have tasks, and leaves its shard only
+//     when their entries are gone; or
+//   - the replica is whole as of a revision at which a task of it was entered already. A task is entered only
+//     while its job is accepted, so the job has left since.
+func (r *replica) provenOver(id string, enteredRevision uint64) bool {
+	j := r.jobs[id]
+	if j != nil && (j.accepted || j.left) {
+		return j.left
 	}
-	to := r.jobShards[schema.JobShardIndex(id, from.splitCount)]
-	if slices.Contains(to.jobIDs, id) {
+	if outcome, known := r.outcomes.get(id); known && outcome.State == StageDone {
 		return true
 	}
-	if r.revisions[to.key] >= r.revisions[from.key] {
-		return false // it has left that part since
+	_, shown := r.jobDirectory.owner(id)
+	return shown && r.complete() && enteredRevision <= r.watchRevision
+}
+
+// knownCancelled reports whether a job, shown as accepted or not, is known to be cancelled.
+func (r *replica) knownCancelled(id string) bool {
+	if j := r.jobs[id]; j != nil && j.cancelled() {
+		return true
 	}
-	to.jobIDs = append(to.jobIDs, id)
-	return true
+	outcome, known := r.outcomes.get(id)
+	return known && outcome.State == StageCancelled
 }
 
 // applyProgressSegment takes a progress segment's new contents; none when it was deleted.
--- a/internal/controller/replica_machines.go
+++ b/internal/controller/replica_machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"frostdock.example/frostdock/internal/schema"
@@ -14,26 +15,26 @@
 	if !r.env.decode(s.key, value, &doc) {
 		return
 	}
-	previousPartition, previousMachines := s.partition, s.machines
+	previousPartition, awaited := s.partition, s.machines
 	s.changedAt = r.env.now
 	if s.partition != doc.Partition {
 		s.movedAt = r.env.now
 	}
 	s.revision, s.size, s.partition, s.handovers, s.splitCount = revision, len(value), doc.Partition, doc.Handovers, doc.ShardCount
 	r.growMachineShards(doc.ShardCount)
-	r.machineShardCounts = withShardCount(r.machineShardCounts, doc.ShardCount)
+	r.machineDirectory.note(s.number, doc.ShardCount)
 	s.machines = make([]*machine, 0, len(doc.Machines))
 	for i := range doc.Machines {
 		entry := &doc.Machines[i]
+		if r.machineDirectory.isOld(entry.Name, s.number, revision) {
+			continue // what is shown of it already is later
+		}
 		m, partition := r.placeInShard(entry.Name, s, previousPartition)
-		r.applyMachine(m, entry, partition != doc.Partition)
+		r.applyMachine(m, entry, revision, partition != doc.Partition)
 	}
-	for _, m := range previousMachines {
-		if m.shard == s && !slices.Contains(s.machines, m) && !r.machineMovedToSplit(m) {
-			r.unbind(m)
-			delete(r.machines, m.name)
-			r.machinesByName = nil
-		}
+	r.locateMachines(awaited)
+	if len(r.unlocatedMachines) > 0 {
+		r.locateUnlocatedMachines()
 	}
 }
 
@@ -52,31 +53,59 @@
 		m.shard.machines = slices.DeleteFunc(m.shard.machines, func(other *machine) bool { return other == m })
 		m.shard = s
 	}
+	delete(r.unlocatedMachines, name)
 	s.machines = append(s.machines, m)
 	return m, previousPartition
 }
 
-// machineMovedToSplit reports whether a machine that its machine shard lists no more went with a part
-// that was split off and is shown next. What is known of the machine stays.
-func (r *replica) machineMovedToSplit(m *machine) bool {
-	from := m.shard
-	if from.splitCount == 0 || schema.MachineShardIndex(m.name, from.splitCount) == from.number {
-		return false
+// locateMachines looks at machines that a shard has listed: one that no shard lists any more is gone if
+// its owner is shown, and waits for its owner if not.
+func (r *replica) locateMachines(machines []*machine) {
+	for _, m := range machines {
+		if r.machines[m.name] != m || slices.Contains(m.shard.machines, m) {
+			continue
+		}
+		if owner, shown := r.machineDirectory.owner(m.name); shown {
+			r.machineDirectory.noteLeft(m.name, r.machineShards[owner].revision)
+			r.removeMachine(m)
+		} else {
+			r.awaitOwner(m)
+		}
 	}
-	to := r.machineShards[schema.MachineShardIndex(m.name, from.splitCount)]
-	if to.revision >= from.revision {
-		return false
+}
+
+// locateUnlocatedMachines looks again at the machines that wait for their owners.
+func (r *replica) locateUnlocatedMachines() {
+	var waiting []*machine
+	for _, name := range slices.Sorted(maps.Keys(r.unlocatedMachines)) {
+		waiting = append(waiting, r.machines[name])
 	}
-	if to.revision == 0 {
-		to.partition, to.handovers = from.partition, from.handovers
+	r.locateMachines(waiting)
+}
+
+// awaitOwner keeps a machine, and what is known of it, that has gone with a part that was not shown yet.
+// Until then it is commanded as before, by what its former shard said last. That is kept in a shard of its
+// own, which no plan sees, so that nothing is written for the machine: its document is not known.
+func (r *replica) awaitOwner(m *machine) {
+	if r.unlocatedMachines[m.name] {
+		return
 	}
-	to.machines = append(to.machines, m)
-	m.shard = to
-	return true
+	r.unlocatedMachines[m.name] = true
+	former := *m.shard
+	former.machines = nil
+	m.shard = &former
+}
+
+// removeMachine takes a machine out whose shard has dropped it.
+func (r *replica) removeMachine(m *machine) {
+	r.unbind(m)
+	delete(r.unlocatedMachines, m.name)
+	delete(r.machines, m.name)
+	r.machinesByName = nil
 }
 
-// applyMachine takes a machine's entry.
-func (r *replica) applyMachine(m *machine, entry *schema.Machine, moved bool) {
+// applyMachine takes a machine's entry as of a revision.
+func (r *replica) applyMachine(m *machine, entry *schema.Machine, revision uint64, moved bool) {
 	previous := m.doc
 	changed := previous.Name == "" || !slices.Equal(previous.Tasks, entry.Tasks) ||
 		previous.TokenIncrements != entry.TokenIncrements || previous.Decommissioned != entry.Decommissioned
@@ -84,7 +113,7 @@
 		r.unbind(m)
 		m.doc = *entry
 		m.forgetOccupancy()
-		m.noteEntries(r.env.now)
+		m.noteEntries(entrySeen{at: r.env.now, revision: revision})
 		for _, task := range entry.Tasks {
 			r.bind(m, task)
 		}
@@ -122,16 +151,16 @@
 }
 
 // noteEntries keeps when each task of the machine's entry was first seen.
-func (m *machine) noteEntries(now units.Micros) {
-	before := m.entrySeenAt
-	m.entrySeenAt = make(map[taskKey]units.Micros, len(m.doc.Tasks))
+func (m *machine) noteEntries(now entrySeen) {
+	before := m.entriesSeen
+	m.entriesSeen = make(map[taskKey]entrySeen, len(m.doc.Tasks))
 	for _, task := range m.doc.Tasks {
 		key := keyOf(task)
-		seenAt, ok := before[key]
+		seen, ok := before[key]
 		if !ok {
-			seenAt = now
+			seen = now
 		}
-		m.entrySeenAt[key] = seenAt
+		m.entriesSeen[key] = seen
 	}
 }
 
--- a/internal/controller/replica_shards.go
+++ b/internal/controller/replica_shards.go
@@ -1,9 +1,7 @@
 package controller
 
 import (
-	"cmp"
 	"encoding/json"
-	"slices"
 	"strings"
 
 	"frostdock.example/frostdock/internal/schema"
@@ -29,6 +27,7 @@
 	number     int
 	key        string
 	splitCount int // into how many job shards it was split, this being one; 0: it never was
+	revision   uint64
 	size       int // of the stored value
 	jobIDs     []string
 }
@@ -55,6 +54,7 @@
 	r.layout = layout
 	r.growMachineShards(layout.MachineShards)
 	r.growJobShards(layout.JobShards)
+	r.machineDirectory.initialCount, r.jobDirectory.initialCount = layout.MachineShards, layout.JobShards
 	r.machineShards, r.jobShards = r.machineShards[:layout.MachineShards], r.jobShards[:layout.JobShards]
 	for key := range r.revisions { // what was read by another layout is to be read again
 		if strings.HasPrefix(key, schema.MachineShardPrefix) || strings.HasPrefix(key, schema.JobShardPrefix) {
@@ -77,24 +77,17 @@
 	}
 }
 
+// machineShardOf is the machine shard that owns a machine's name, or where it was before the last split
+// if its owner was not shown yet: good for asking who leads it, not for writing.
 func (r *replica) machineShardOf(machine string) *machineShard {
-	shardCount := func(n int) int { return r.machineShards[n].splitCount }
-	return r.machineShards[schema.FindShard(machine, r.layout.MachineShards, r.machineShardCounts, shardCount)]
+	shard, _ := r.machineDirectory.owner(machine)
+	return r.machineShards[shard]
 }
 
+// jobShardOf is the job shard that owns a job's id, as machineShardOf.
 func (r *replica) jobShardOf(job string) *jobShard {
-	shardCount := func(n int) int { return r.jobShards[n].splitCount }
-	return r.jobShards[schema.FindShard(job, r.layout.JobShards, r.jobShardCounts, shardCount)]
-}
-
-// withShardCount enters a number of documents among the others, the largest first.
-func withShardCount(counts []int, count int) []int {
-	if count <= 0 || slices.Contains(counts, count) {
-		return counts
-	}
-	counts = append(slices.Clone(counts), count)
-	slices.SortFunc(counts, func(a, b int) int { return cmp.Compare(b, a) })
-	return counts
+	shard, _ := r.jobDirectory.owner(job)
+	return r.jobShards[shard]
 }
 
 // jobShardDocument is a job shard as it stands, without the given jobs.
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -17,6 +17,8 @@
 	watchRefusalDelay  = 100 * units.Millisecond
 	watchRequestsShare = 0.4 // the part of the permitted requests that the watch may take
 
+	unlocatedLogPeriod = units.Second
+
 	// maxWatchLag is how long the watch may lag behind what other answers show.
 	maxWatchLag = units.Second
 )
@@ -47,6 +49,17 @@
 			delete(r.tombstones, key)
 		}
 	}
+	r.noteUnlocated()
+	r.machineDirectory.advance(r.watchRevision)
+	r.jobDirectory.advance(r.watchRevision)
+}
+
+// noteUnlocated tells of jobs and machines whose shard, since a split, was not shown at the end of an answer.
+// The watch shows it later; that it does not within an answer is unusual.
+func (r *replica) noteUnlocated() {
+	if count := len(r.unlocatedJobs) + len(r.unlocatedMachines); count > 0 && r.unlocatedLog.due(r.env.now, unlocatedLogPeriod) {
+		r.env.log.Info("shards after a split not shown yet", "jobs", len(r.unlocatedJobs), "machines", len(r.unlocatedMachines), "revision", r.watchRevision)
+	}
 }
 
 // noteDeleted notes that a key was deleted by a commit of this process: until the watch has come so far
--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -89,6 +89,14 @@
 // answer of the key-value store may tell of their documents. A job that goes from the first
 // document to a part, and from there to a part of that, must not be taken for one that is over when
 // the last two come before the first: its absence is no proof of an outcome.
+//
+// What happened: in the order [2 1 0] the job that moves twice was removed. Its tasks were to be stopped and
+// their entries released ("job is over"), and its user got 404, or was told "pending" after "cancelled".
+//
+// Why: a shard that lists a job no more was taken at its word unless the part to which the job had gone, by
+// that shard's own count, was not shown or listed it. That part was shown, was newer, and had been split
+// itself. TestSmallShardHistories shows every order of such histories; on the scenario moved_twice the
+// rules that broke were went_back and ran_cancelled, of jobs whose removal the log did not tell.
 func TestMovedTwice(t *testing.T) {
 	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
 		t.Run(fmt.Sprint(order), func(t *testing.T) {
--- a/internal/controller/services.go
+++ b/internal/controller/services.go
@@ -78,7 +78,7 @@
 		left := m.machine.agent.notice.endsAt - p.now
 		for _, task := range m.kept {
 			j := p.replica.jobs[task.Job]
-			if j != nil && p.facts.shouldRun(task) && p.fitsShard(m.shard) && j.mustLeaveReclaimed(left) {
+			if j != nil && p.facts.shouldRun(m.machine, task) && p.fitsShard(m.shard) && j.mustLeaveReclaimed(left) {
 				p.writeShard(m.shard)
 				m.requestStop(keyOf(task), schema.StopGracefully)
 			}
@@ -147,7 +147,7 @@
 		return false
 	}
 	run, runs := m.machine.agent.runningSince[keyOf(task)]
-	return runs && p.now-run.at >= minServiceRun && p.facts.shouldRun(task) && p.fitsShard(m.shard)
+	return runs && p.now-run.at >= minServiceRun && p.facts.shouldRun(m.machine, task) && p.fitsShard(m.shard)
 }
 
 // moveService stops a service's task if there is a better machine for it, and keeps the capacity there.
--- a/internal/controller/shard_histories_test.go
+++ b/internal/controller/shard_histories_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"frostdock.example/frostdock/internal/config"
@@ -171,6 +172,7 @@
 		if m.Name == name && !slices.Contains(m.Tasks, task) {
 			s.begin("bind %s/%d to %s", id, index, name)
 			m.Tasks = append(slices.Clone(m.Tasks), task)
+			slices.SortFunc(m.Tasks, func(a, b schema.Task) int { return strings.Compare(keyOf(a).task(), keyOf(b).task()) })
 			s.emitMachineShard(owner)
 		}
 	}
@@ -260,21 +262,7 @@
 	r.t.Helper()
 	latest := slices.Max(slices.Collect(maps.Values(r.shown)))
 	for id := range r.store.acceptedAt {
-		j := r.c.replica.jobs[id]
-		accepted := j != nil && j.accepted
-		over := r.store.removedAt[id] > 0 && r.store.removedAt[id] <= latest
-		if r.seen[id] && !accepted && !over {
-			r.fail("%s is lost", id)
-		}
-		r.seen[id] = r.seen[id] || accepted
-		if latest > r.wholeRevision() {
-			continue // in the middle of an answer that leaves states out, it may wait for its shard
-		}
-		if r.store.acceptedAt[id] <= latest && !accepted && !over {
-			r.fail("%s is not shown", id)
-		} else if over && accepted {
-			r.fail("%s is kept though it is over", id)
-		}
+		r.checkJob(id, latest)
 	}
 	for name, m := range r.known {
 		dropped := r.store.droppedAt[name] > 0 && r.store.droppedAt[name] <= latest
@@ -282,42 +270,60 @@
 			r.fail("machine %s is lost", name)
 		}
 	}
-	for name, m := range r.c.replica.machines {
+	for _, m := range r.c.replica.machines {
 		for _, task := range m.doc.Tasks {
-			if over := r.store.removedAt[task.Job]; over > 0 && over <= latest {
-				continue
-			}
-			facts := r.c.facts.ofTask(task)
-			if stop := facts.MustStop(); stop != guard.KeepRunning {
-				r.fail("%s on %s must stop: %s", keyOf(task).task(), name, stop)
-			}
-			if release := facts.MayRelease(guard.MachineFacts{Quiesced: true}); release != guard.KeepEntry {
-				r.fail("%s on %s may be released: %s", keyOf(task).task(), name, release)
-			}
-			if accepted := r.c.replica.acceptedJob(task.Job) != nil; !accepted && facts.MayStart(guard.Permissions{MayCommand: true, MayStart: true}) == guard.StartAllowed {
-				r.fail("%s on %s may start before its job is shown", keyOf(task).task(), name)
+			if !r.over(task.Job, latest) {
+				r.checkEntry(m, task)
 			}
 		}
 	}
 }
 
+// over reports whether a job is over as of a revision.
+func (r *historyReplica) over(id string, revision uint64) bool {
+	return r.store.removedAt[id] > 0 && r.store.removedAt[id] <= revision
+}
+
+// checkJob looks at one job when documents up to the latest revision were shown.
+func (r *historyReplica) checkJob(id string, latest uint64) {
+	r.t.Helper()
+	accepted, over := r.c.replica.acceptedJob(id) != nil, r.over(id, latest)
+	if r.seen[id] && !accepted && !over {
+		r.fail("%s is lost", id)
+	}
+	r.seen[id] = r.seen[id] || accepted
+	if latest > r.wholeRevision() {
+		return // in the middle of an answer that leaves states out, it may wait for its shard
+	}
+	if r.store.acceptedAt[id] <= latest && !accepted && !over {
+		r.fail("%s is not shown", id)
+	}
+	if over && accepted {
+		r.fail("%s is kept though it is over", id)
+	}
+}
+
+// checkEntry looks at what may be done with an entry whose job is not over.
+func (r *historyReplica) checkEntry(m *machine, task schema.Task) {
+	r.t.Helper()
+	facts, name := r.c.facts.ofTask(m, task), keyOf(task).task()
+	if stop := facts.MustStop(); stop != guard.KeepRunning {
+		r.fail("%s on %s must stop: %s", name, m.name, stop)
+	}
+	if release := facts.MayRelease(guard.MachineFacts{Quiesced: true}); release != guard.KeepEntry {
+		r.fail("%s on %s may be released: %s", name, m.name, release)
+	}
+	start := facts.MayStart(guard.Permissions{MayCommand: true, MayStart: true})
+	if r.c.replica.acceptedJob(task.Job) == nil && start == guard.StartAllowed {
+		r.fail("%s on %s may start before its job is shown", name, m.name)
+	}
+}
+
 // checkEqual compares the replica, which has been shown all, with the store.
 func (r *historyReplica) checkEqual() {
 	r.t.Helper()
 	for n, document := range r.store.jobs {
-		listed := slices.Clone(r.c.replica.jobShards[n].jobIDs)
-		slices.Sort(listed)
-		var want []string
-		for _, job := range document.Jobs {
-			want = append(want, job.ID)
-			if j := r.c.replica.jobs[job.ID]; j == nil || !j.accepted || r.c.replica.jobShardOf(job.ID).number != n {
-				r.fail("%s is not accepted, or not found in job shard %d", job.ID, n)
-			}
-		}
-		slices.Sort(want)
-		if !slices.Equal(listed, want) {
-			r.fail("job shard %d lists %v, want %v", n, listed, want)
-		}
+		r.checkJobShard(n, document)
 	}
 	for id := range r.store.removedAt {
 		if r.c.replica.acceptedJob(id) != nil {
@@ -327,28 +333,51 @@
 	machines := 0
 	for n, document := range r.store.machines {
 		machines += len(document.Machines)
-		if got := len(r.c.replica.machineShards[n].machines); got != len(document.Machines) {
-			r.fail("machine shard %d has %d machines, want %d", n, got, len(document.Machines))
-		}
-		for _, machine := range document.Machines {
-			m := r.c.replica.machines[machine.Name]
-			if m == nil || m.shard != r.c.replica.machineShards[n] || !slices.Equal(m.doc.Tasks, machine.Tasks) {
-				r.fail("%s is not in machine shard %d, or has other tasks", machine.Name, n)
-			}
-		}
+		r.checkMachineShard(n, document)
 	}
 	if len(r.c.replica.machines) != machines {
 		r.fail("%d machines, want %d", len(r.c.replica.machines), machines)
 	}
-	for name, m := range r.c.replica.machines { // an entry of a job that is over can go
+	for _, m := range r.c.replica.machines { // an entry of a job that is over can go
 		for _, task := range m.doc.Tasks {
-			if r.store.removedAt[task.Job] > 0 && r.c.facts.ofTask(task).MayRelease(guard.MachineFacts{}) != guard.ReleaseJobOver {
-				r.fail("%s on %s is never released", keyOf(task).task(), name)
+			if r.store.removedAt[task.Job] > 0 && r.c.facts.ofTask(m, task).MayRelease(guard.MachineFacts{}) != guard.ReleaseJobOver {
+				r.fail("%s on %s is never released", keyOf(task).task(), m.name)
 			}
 		}
 	}
 }
 
+func (r *historyReplica) checkJobShard(n int, document *schema.JobShard) {
+	r.t.Helper()
+	listed := slices.Clone(r.c.replica.jobShards[n].jobIDs)
+	slices.Sort(listed)
+	var want []string
+	for _, job := range document.Jobs {
+		want = append(want, job.ID)
+		if r.c.replica.acceptedJob(job.ID) == nil || r.c.replica.jobShardOf(job.ID).number != n {
+			r.fail("%s is not accepted, or not found in job shard %d", job.ID, n)
+		}
+	}
+	slices.Sort(want)
+	if !slices.Equal(listed, want) {
+		r.fail("job shard %d lists %v, want %v", n, listed, want)
+	}
+}
+
+func (r *historyReplica) checkMachineShard(n int, document *schema.MachineShard) {
+	r.t.Helper()
+	shard := r.c.replica.machineShards[n]
+	if len(shard.machines) != len(document.Machines) {
+		r.fail("machine shard %d has %d machines, want %d", n, len(shard.machines), len(document.Machines))
+	}
+	for _, machine := range document.Machines {
+		m := r.c.replica.machines[machine.Name]
+		if m == nil || m.shard != shard || !slices.Equal(m.doc.Tasks, machine.Tasks) {
+			r.fail("%s is not in machine shard %d, or has other tasks", machine.Name, n)
+		}
+	}
+}
+
 // eventsByKey are a history's events, those of each key in the order of their revisions.
 func (s *historyStore) eventsByKey() [][]historyEvent {
 	var keys []string
@@ -386,80 +415,76 @@
 }
 
 // smallHistories are histories whose every order is shown.
-func smallHistories(base int) map[string]*historyStore {
-	histories := map[string]*historyStore{}
-	add := func(name string, play func(s *historyStore)) {
-		s := newHistoryStore(base)
-		play(s)
-		histories[name] = s
-	}
-	add("jobs, a part split again", func(s *historyStore) {
+var smallHistories = []struct {
+	name string
+	play func(s *historyStore)
+}{
+	{"jobs, a part split again", func(s *historyStore) {
 		s.accept(0)
 		s.accept(1)
 		s.accept(3)
 		s.splitJobs(0, 2)
 		s.splitJobs(1, 2)
-	})
-	add("jobs, split twice and into other counts", func(s *historyStore) {
+	}},
+	{"jobs, split twice and into other counts", func(s *historyStore) {
 		s.accept(5)
 		s.splitJobs(0, 2)
 		s.splitJobs(1, 3)
 		s.splitJobs(0, 2)
-	})
-	add("jobs, over between the splits", func(s *historyStore) {
+	}},
+	{"jobs, over between the splits", func(s *historyStore) {
 		s.accept(3)
 		s.splitJobs(0, 2)
 		s.finish(3)
 		s.splitJobs(1, 2)
-	})
-	add("jobs, over after the splits", func(s *historyStore) {
+	}},
+	{"jobs, over after the splits", func(s *historyStore) {
 		s.accept(3)
 		s.splitJobs(0, 2)
 		s.splitJobs(3, 2)
 		s.finish(3)
-	})
-	add("jobs, accepted between the splits", func(s *historyStore) {
+	}},
+	{"jobs, accepted between the splits", func(s *historyStore) {
 		s.accept(1)
 		s.splitJobs(0, 2)
 		s.accept(3)
 		s.splitJobs(3, 2)
-	})
-	add("machines, a part split again", func(s *historyStore) {
+	}},
+	{"machines, a part split again", func(s *historyStore) {
 		s.register(0)
 		s.register(1)
 		s.register(3)
 		s.splitMachines(0, 2)
 		s.splitMachines(1, 2)
-	})
-	add("machines, split twice and into other counts", func(s *historyStore) {
+	}},
+	{"machines, split twice and into other counts", func(s *historyStore) {
 		s.register(5)
 		s.splitMachines(0, 2)
 		s.splitMachines(1, 3)
 		s.splitMachines(0, 2)
-	})
-	add("machines, dropped between the splits", func(s *historyStore) {
+	}},
+	{"machines, dropped between the splits", func(s *historyStore) {
 		s.register(3)
 		s.splitMachines(0, 2)
 		s.drop(3)
 		s.splitMachines(1, 2)
-	})
-	add("a task bound before and after a split of both", func(s *historyStore) {
+	}},
+	{"a task bound before and after a split of both", func(s *historyStore) {
 		s.accept(1)
 		s.register(1)
 		s.bind(1, 1, 0)
 		s.splitJobs(0, 2)
 		s.splitMachines(0, 2)
 		s.bind(1, 1, 1)
-	})
-	add("a job over whose entry stays", func(s *historyStore) {
+	}},
+	{"a job over whose entry stays", func(s *historyStore) {
 		s.accept(3)
 		s.register(1)
 		s.bind(3, 1, 0)
 		s.splitJobs(0, 2)
 		s.splitJobs(1, 2)
 		s.finish(3)
-	})
-	return histories
+	}},
 }
 
 // historyBase is the number of shards of each kind that replicas of these tests begin with; it must be the
@@ -475,10 +500,12 @@
 
 // TestSmallShardHistories shows each small history in every order.
 func TestSmallShardHistories(t *testing.T) {
-	for name, store := range smallHistories(historyBase(t)) {
-		t.Run(name, func(t *testing.T) {
+	for _, history := range smallHistories {
+		t.Run(history.name, func(t *testing.T) {
+			store := newHistoryStore(historyBase(t))
+			history.play(store)
 			orders := everyOrder(store.eventsByKey(), nil, func(order []historyEvent) {
-				replica := newHistoryReplica(t, name, store)
+				replica := newHistoryReplica(t, history.name, store)
 				for _, event := range order {
 					replica.show(event)
 				}
@@ -577,3 +604,82 @@
 		t.Error("not proven by a whole replica")
 	}
 }
+
+// TestMisplacedJob shows a job in a shard that does not own it, as TestAcceptWaitsForOwner tells of and as an
+// earlier version may have written it. It stays accepted, also when shards are split, its own one included.
+func TestMisplacedJob(t *testing.T) {
+	c, _ := newTestAccepts()
+	base := len(c.replica.jobShards)
+	job := schema.Job{ID: fmt.Sprintf("j-%06d", baseShard+base), Tasks: 1}
+	misplaced := schema.JobShard{ShardCount: 2 * base, Jobs: []schema.Job{job}}
+	c.replica.apply(schema.JobShardKey(baseShard), encode(misplaced), 25, false)
+	c.replica.apply(schema.JobShardKey(baseShard+base), encode(schema.JobShard{ShardCount: 2 * base}), 20, false)
+	checkAccepted(t, c, []schema.Job{job})
+	for _, n := range []int{baseShard + base, baseShard + 3*base} {
+		c.replica.apply(schema.JobShardKey(n), encode(schema.JobShard{ShardCount: 4 * base}), 30, false)
+	}
+	checkAccepted(t, c, []schema.Job{job})
+	for _, document := range c.jobShardSplits.split(c.replica.jobShards[baseShard], 2, "tag") {
+		c.replica.apply(document.key, document.value, 40, false)
+	}
+	checkAccepted(t, c, []schema.Job{job})
+}
+
+// TestProvenOver asks whether a job is over that is not among the accepted ones, of a replica that is loaded
+// up to revision 10, with a task of it entered at some revision.
+func TestProvenOver(t *testing.T) {
+	const id = "j-000005"
+	for _, tc := range []struct {
+		name    string
+		prepare func(c *Controller)
+		entered uint64
+		want    bool
+	}{
+		{"replica whole", func(*Controller) {}, 10, true},
+		{"entered later than the replica shows", func(*Controller) {}, 11, false},
+		{"replica not loaded", func(c *Controller) { c.replica.beginLoad() }, 10, false},
+		{"pages of later revisions", func(c *Controller) { c.replica.notePage(11) }, 10, false},
+		{"its shard not shown since a split", func(c *Controller) {
+			base := len(c.replica.jobShards)
+			c.replica.apply(schema.JobShardKey(baseShard+base), encode(schema.JobShard{ShardCount: 2 * base}), 9, false)
+		}, 10, false},
+		{"done", func(c *Controller) {
+			c.replica.beginLoad()
+			c.replica.outcomes.put(id, schema.Outcome{State: StageDone})
+		}, 11, true},
+		{"cancelled, its entries may stand", func(c *Controller) {
+			c.replica.beginLoad()
+			c.replica.outcomes.put(id, schema.Outcome{State: StageCancelled})
+		}, 11, false},
+		{"accepted", func(c *Controller) {
+			c.replica.apply(schema.JobShardKey(5), encode(schema.JobShard{Jobs: []schema.Job{{ID: id, Tasks: 1}}}), 9, false)
+		}, 10, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, _ := newTestAccepts()
+			c.replica.beginSync(10)
+			tc.prepare(c)
+			if got := c.replica.provenOver(id, tc.entered); got != tc.want {
+				t.Errorf("proven over: %v", got)
+			}
+		})
+	}
+}
+
+// TestDeletedJobShard has a job shard deleted, as by hand: its jobs are gone, and nothing waits for them.
+func TestDeletedJobShard(t *testing.T) {
+	c, _ := newTestAccepts()
+	base := len(c.replica.jobShards)
+	id := fmt.Sprintf("j-%06d", baseShard+base)
+	for _, n := range []int{baseShard, baseShard + base} {
+		doc := schema.JobShard{ShardCount: 2 * base}
+		if n != baseShard {
+			doc.Jobs = []schema.Job{{ID: id, Tasks: 1}}
+		}
+		c.replica.apply(schema.JobShardKey(n), encode(doc), 20, false)
+	}
+	c.replica.apply(schema.JobShardKey(baseShard+base), nil, 30, true)
+	if c.replica.acceptedJob(id) != nil || len(c.replica.unlocatedJobs) > 0 {
+		t.Errorf("accepted %v, waiting %v", c.replica.acceptedJob(id), c.replica.unlocatedJobs)
+	}
+}
--- a/internal/controller/summary.go
+++ b/internal/controller/summary.go
@@ -11,6 +11,8 @@
 		"invariants_violated", c.audit.violations, "store_ok", c.store.healthy(),
 		"jobs", jobs.accepted, "services", jobs.services, "tasks_waiting", jobs.tasksWaiting, "tasks_bound", jobs.tasksBound,
 		"machines", len(c.replica.machines), "machines_led", c.replica.countCommanded(),
+		"jobs_unlocated", len(c.replica.unlocatedJobs), "machines_unlocated", len(c.replica.unlocatedMachines),
+		"entries_undecided", c.facts.countUndecided(),
 		"requests_open", c.users.openCount(), "changes", c.budget.takeChangesByKind())...)
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,20 +12,20 @@
 //   - A job is forgotten only when its outcome is stored, or is written in the same transaction.
 //   - A final answer to a user never contradicts a stored outcome.
 //
-// The absence of something from a replica should prove nothing, since a replica may show documents in
-// an order in which a job is in none of them for a while. Two decisions still take the absence of a job
-// from the accepted jobs for its outcome: StopNotAccepted stops its tasks, and ReleaseJobOver releases
-// their entries. Both are sound only while the replica shows all accepted jobs. TestMovedTwice of
-// package controller shows a replica that does not, and fails (KNOWN-RED.txt).
+// The absence of something from a replica proves nothing, since a replica may show documents in an order
+// in which a job is in none of them for a while. A job that is not among the accepted ones is over
+// only if that is proven; where it is not (NotProvenOver), its tasks are neither started nor stopped and
+// their entries stay, until the replica shows the job or the proof.
 //
 // The package keeps no state and knows no controller: gathering the facts, and looking at effects once
 // more as they leave, is the caller's part.
 package guard
 
 // TaskFacts is what is known of a task that is entered on a machine, and of its job. The zero value is
-// a task whose job is not accepted.
+// a task whose job was accepted and is over.
 type TaskFacts struct {
 	Accepted         bool // the job is among the accepted ones
+	NotProvenOver    bool // it is not, and nothing proves that it has left them: it may just not be shown
 	Cancelled        bool // the job is, itself or because of one that it depends on
 	DependenciesDone bool // all jobs that it depends on have the stored outcome "done"
 	Completed        bool // the task is, as far as this controller knows
@@ -49,7 +49,7 @@
 // MustStop tells whether the task must not run where it is entered, and why.
 func (f TaskFacts) MustStop() StopReason {
 	switch {
-	case !f.Accepted:
+	case !f.Accepted && !f.NotProvenOver:
 		return StopNotAccepted
 	case f.Cancelled:
 		return StopCancelled
@@ -77,6 +77,7 @@
 	StartReplicaTooOld    StartRefusal = "replica too old"
 	StartDependenciesOpen StartRefusal = "dependencies not done"
 	StartMustNotRun       StartRefusal = "must not run"
+	StartJobNotShown      StartRefusal = "job not shown"
 )
 
 // MayStart tells whether the task may be started now, and why not.
@@ -84,6 +85,8 @@
 	switch {
 	case f.MustStop() != KeepRunning:
 		return StartMustNotRun
+	case !f.Accepted:
+		return StartJobNotShown
 	case !f.DependenciesDone:
 		return StartDependenciesOpen
 	case !permissions.MayCommand:
@@ -123,7 +126,9 @@
 	switch {
 	case machine.MachineDeleted:
 		return ReleaseMachineDeleted
-	case !f.Accepted: // who clears a job away has stored its outcome with it; see the package comment
+	case !f.Accepted && f.NotProvenOver: // what is known of its completions may not be shown either
+		return KeepEntry
+	case !f.Accepted: // who clears a job away has stored its outcome with it
 		return ReleaseJobOver
 	case f.CompletionStored:
 		return ReleaseCompletionStored
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -97,3 +97,31 @@
 		}
 	}
 }
+
+// TestNotProvenOver has a job that is neither shown as accepted nor proven to be over: its tasks are neither
+// started nor stopped, and their entries stay, unless the machine is gone. Once it is proven that the job
+// is over they go (TestMayRelease, "job over").
+func TestNotProvenOver(t *testing.T) {
+	facts, may := TaskFacts{NotProvenOver: true, DependenciesDone: true}, Permissions{MayCommand: true, MayStart: true}
+	if got := facts.MustStop(); got != KeepRunning {
+		t.Errorf("must stop: %q", got)
+	}
+	if got := facts.MayStart(may); got != StartJobNotShown {
+		t.Errorf("may start: %q", got)
+	}
+	for _, machine := range []MachineFacts{{}, {Quiesced: true}, {LeaseExpired: true}, {Reported: true, Ended: true, TokenSeen: true}} {
+		if got := facts.MayRelease(machine); got != KeepEntry {
+			t.Errorf("%+v: may release: %q", machine, got)
+		}
+	}
+	if got := facts.MayRelease(MachineFacts{MachineDeleted: true}); got != ReleaseMachineDeleted {
+		t.Errorf("machine deleted: may release: %q", got)
+	}
+	facts.Cancelled = true
+	if got := facts.MustStop(); got != StopCancelled {
+		t.Errorf("cancelled: must stop: %q", got)
+	}
+	if got := facts.MayRelease(MachineFacts{Quiesced: true}); got != KeepEntry {
+		t.Errorf("cancelled: may release: %q", got)
+	}
+}
--- a/internal/schema/layout.go
+++ b/internal/schema/layout.go
@@ -176,13 +176,21 @@
 // some shard says that it is one, the largest first. shardCount gives that number for a shard, 0
 // if the shard was never split or is not there.
 func FindShard(name string, initialCount int, splitCounts []int, shardCount func(n int) int) int {
+	n, _ := OwnerShard(name, initialCount, splitCounts, shardCount)
+	return n
+}
+
+// OwnerShard is FindShard that also tells whether the shard says that it holds the name. None may say
+// so where not all shards are known: of a split that one part is known of, say.
+func OwnerShard(name string, initialCount int, splitCounts []int, shardCount func(n int) int) (shard int, known bool) {
 	number := nameNumber(name)
 	for _, count := range splitCounts {
 		if n := number % count; shardCount(n) == count {
-			return n
+			return n, true
 		}
 	}
-	return number % initialCount
+	n := number % initialCount
+	return n, shardCount(n) == 0
 }
 
 // nameNumber is the number that a name ends in, or a hash of a name without one.
