--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -6,6 +6,7 @@
 	"frostdock.example/frostdock/internal/kv"
 	"frostdock.example/frostdock/internal/peer"
 	"frostdock.example/frostdock/internal/schema"
+	"frostdock.example/frostdock/internal/units"
 )
 
 // Message is something that happened outside the controller: a request, the answer to a call, or a
@@ -66,10 +67,12 @@
 }
 
 // AgentResult answers the AgentCall of the same id. Heartbeat is nil if there was no answer: the
-// commands may yet be carried out.
+// commands may yet be carried out, unless NotSent says that they never left.
 type AgentResult struct {
 	CallID    uint64
 	Heartbeat *agent.Heartbeat
+	NotSent   bool         // the call could not leave in time: nothing was sent, and nothing will be
+	Waited    units.Micros // how long it waited for its turn; 0: not at all
 }
 
 // PeerHeartbeat is another controller's heartbeat. It may be late, repeated or lost.
@@ -126,6 +129,9 @@
 	CallID   uint64
 	Address  string
 	Commands *agent.CommandRequest
+	// LeaveBefore is when the right ends under which the commands were decided, by the steady clock of
+	// Step: later they must not be sent. 0: no such moment.
+	LeaveBefore units.Micros
 }
 
 // BroadcastHeartbeat sends this controller's heartbeat to every other controller.
--- /dev/null
+++ b/internal/controller/push_test.go
@@ -0,0 +1,170 @@
+package controller
+
+import (
+	"testing"
+
+	"frostdock.example/frostdock/internal/agent"
+	"frostdock.example/frostdock/internal/kv"
+	"frostdock.example/frostdock/internal/schema"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// directCommands lists the commands of one kind that effects push to machines, with the call of the first.
+func directCommands(effects []Effect, action agent.Action) (calls []AgentCall) {
+	for _, effect := range effects {
+		call, ok := effect.(AgentCall)
+		if !ok || call.Commands == nil {
+			continue
+		}
+		for _, command := range call.Commands.Commands {
+			if command.Action == action {
+				calls = append(calls, call)
+			}
+		}
+	}
+	return calls
+}
+
+// notSent answers calls of agents that they did not leave, in place of what the store made of them.
+func notSent(messages []Message, calls []AgentCall) []Message {
+	for _, call := range calls {
+		for i, message := range messages {
+			if result, ok := message.(AgentResult); ok && result.CallID == call.CallID {
+				messages[i] = AgentResult{CallID: call.CallID, NotSent: true, Waited: units.Second}
+			}
+		}
+	}
+	return messages
+}
+
+// pushCase is a controller that commands n-000001, where a task of j-000001 is entered, with the steps of
+// its own: all direct commands come back as not sent while refuse is set.
+type pushCase struct {
+	c      *Controller
+	store  *fakeStore
+	now    units.Micros
+	msgs   []Message
+	refuse bool
+	tasks  []agent.TaskStatus // on the machine, as its agent says
+}
+
+func newPushCase(t *testing.T) *pushCase {
+	t.Helper()
+	c, store, _ := foreignJob(t)
+	return &pushCase{c: c, store: store, now: c.now, refuse: true}
+}
+
+func (p *pushCase) step(extra ...Message) []Effect {
+	p.now += 25 * units.Millisecond
+	effects := p.c.Step(p.now, p.now+units.Micros(1e15), append(p.msgs, extra...))
+	p.msgs = nil
+	for _, effect := range effects {
+		for _, message := range p.store.answer(effect) {
+			if result, ok := message.(AgentResult); ok {
+				result.Heartbeat.Tasks = p.tasks
+			}
+			p.msgs = append(p.msgs, message)
+		}
+	}
+	if p.refuse {
+		p.msgs = notSent(p.msgs, append(directCommands(effects, agent.Start), directCommands(effects, agent.Stop)...))
+	}
+	return effects
+}
+
+// enterTask shows that a task of j-000001 is entered on n-000001.
+func (p *pushCase) enterTask() []Effect {
+	entry := schema.Task{Job: "j-000001", Index: 0, Attempt: 1<<28 | 1}
+	return p.step(p.store.news(kv.Event{Set: shardOfMachine(p.c.replica.layout), Value: encode(machineWith(entry)), ModRevision: p.store.rev + 1}))
+}
+
+// cancelJob shows that j-000001 is cancelled.
+func (p *pushCase) cancelJob() []Effect {
+	return p.step(p.store.news(
+		kv.Event{Set: schema.CancellationPrefix + "j-000001", Value: encode(map[string]string{"w": "x"}), ModRevision: p.store.rev + 1},
+		kv.Event{Set: schema.OutcomePrefix + "j-000001", Value: encode(schema.Outcome{State: StageCancelled}), ModRevision: p.store.rev + 1}))
+}
+
+// TestNotSentIsDecidedAnew has the start of a task come back as not sent. It raises no fencing token, is told
+// again after a pause, and not once its job is cancelled meanwhile.
+func TestNotSentIsDecidedAnew(t *testing.T) {
+	p := newPushCase(t)
+	m := p.c.replica.machines["n-000001"]
+	token := p.c.replica.fencingToken(m)
+	starts := len(directCommands(p.enterTask(), agent.Start))
+	if starts != 1 {
+		t.Fatalf("%d starts at first", starts)
+	}
+	const seconds, stepsPerSecond = 4, 40
+	for range seconds * stepsPerSecond {
+		starts += len(directCommands(p.step(), agent.Start))
+	}
+	if starts < 2 || starts > seconds*4+1 {
+		t.Errorf("told %d times in %d s", starts, seconds)
+	}
+	if m.agent.command.unclear() || p.c.replica.fencingToken(m) != token {
+		t.Errorf("unclear %v, token raised from %d to %d", m.agent.command.unclear(), token, p.c.replica.fencingToken(m))
+	}
+	starts = len(directCommands(p.cancelJob(), agent.Start))
+	p.refuse = false
+	for range seconds * stepsPerSecond {
+		starts += len(directCommands(p.step(), agent.Start))
+	}
+	if starts != 0 {
+		t.Errorf("%d starts after the cancellation", starts)
+	}
+}
+
+// TestNotSentStopIsToldAgain has the stop of a task of a cancelled job come back as not sent. It is told with
+// the answer to the next heartbeat, and directly when calls leave again.
+func TestNotSentStopIsToldAgain(t *testing.T) {
+	p := newPushCase(t)
+	p.refuse = false
+	p.tasks = []agent.TaskStatus{{Task: "j-000001/0", Attempt: 1<<28 | 1, State: agent.Running}}
+	p.enterTask()
+	heartbeat := func() HeartbeatRequest {
+		p.store.seq++
+		token := p.c.replica.fencingToken(p.c.replica.machines["n-000001"])
+		return HeartbeatRequest{RequestID: 9, Heartbeat: agent.Heartbeat{
+			Machine: "n-000001", Addr: "n-000001", Type: "big", Zone: "a", Epoch: 1, Sequence: p.store.seq, FencingToken: token, Tasks: p.tasks,
+		}}
+	}
+	p.step()
+	p.step(heartbeat())
+	p.refuse = true
+	if stops := len(directCommands(p.cancelJob(), agent.Stop)); stops != 1 {
+		t.Fatalf("%d stops at first", stops)
+	}
+	p.step()
+	told := false
+	for _, effect := range p.step(heartbeat()) {
+		if reply, ok := effect.(Reply); ok && reply.RequestID == 9 {
+			response, _ := reply.Body.(agent.HeartbeatResponse)
+			told = len(response.Commands) == 1 && response.Commands[0].Action == agent.Stop
+		}
+	}
+	if !told {
+		t.Error("not told with the answer to the next heartbeat")
+	}
+	p.refuse = false
+	stops := 0
+	for range 40 {
+		stops += len(directCommands(p.step(), agent.Stop))
+	}
+	if stops == 0 {
+		t.Error("not told again directly")
+	}
+}
+
+// TestCommandsLeaveWhileEntitled looks at until when commands may leave: as long as the proof that they were
+// decided on is recent enough, for starts and for other commands.
+func TestCommandsLeaveWhileEntitled(t *testing.T) {
+	p := newPushCase(t)
+	starts := directCommands(p.enterTask(), agent.Start)
+	if len(starts) != 1 || starts[0].LeaveBefore != p.c.freshness.provenAt+maxStartProofAge {
+		t.Errorf("starts %+v, proven at %v", starts, p.c.freshness.provenAt)
+	}
+	if remaining := starts[0].LeaveBefore - p.c.now; remaining <= 0 || remaining > maxStartProofAge {
+		t.Errorf("a start may leave for %v", remaining)
+	}
+}
--- a/internal/server/outbound_agent_test.go
+++ b/internal/server/outbound_agent_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"frostdock.example/frostdock/internal/agent"
 	"frostdock.example/frostdock/internal/controller"
+	"frostdock.example/frostdock/internal/units"
 )
 
 func startCommand() *agent.CommandRequest {
@@ -67,6 +69,12 @@
 // TestNoOldCommand has so many machines not answer that the commands under way are as many as
 // may be. A command that waits for its turn must not leave long after it was decided: what it
 // starts may be cancelled by then, and the right to start may have lapsed.
+//
+// What happened: the command to the machine that answers left 4.5 s after it was decided, behind 4 times
+// as many silent machines as calls may be under way, and could have left at any time.
+//
+// Why: a call waited for its turn without bound, and nobody looked once more before it left. The time that
+// this test prints, and the tasks started late in scenario few_sockets, showed it; no log line did.
 func TestNoOldCommand(t *testing.T) {
 	s := newIsolatedServer(t, 64)
 	silent := startSilentAgent(t)
@@ -94,3 +102,112 @@
 		}
 	}
 }
+
+// startAnsweringAgent answers every request, and counts them.
+func startAnsweringAgent(t *testing.T) (address string, received *atomic.Int64) {
+	t.Helper()
+	received = &atomic.Int64{}
+	address = serveOnLoopback(t, func(ctx *fasthttp.RequestCtx) {
+		received.Add(1)
+		_, _ = io.WriteString(ctx, `{"bench":"n-1"}`)
+	})
+	return address, received
+}
+
+// takeResults waits for the results of so many calls, each of which must come once.
+func takeResults(t *testing.T, s *Server, count int) map[uint64]controller.AgentResult {
+	t.Helper()
+	results := map[uint64]controller.AgentResult{}
+	for range count {
+		select {
+		case message := <-s.queue:
+			result, ok := message.(controller.AgentResult)
+			if _, twice := results[result.CallID]; !ok || twice {
+				t.Fatalf("unexpected %+v", message)
+			}
+			results[result.CallID] = result
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%d of %d calls have ended", len(results), count)
+		}
+	}
+	return results
+}
+
+// TestLateCommandComesBack calls 4 times as many silent machines as calls may be under way, and then one
+// that answers. What can't leave in time comes back as not sent, and was not; what has left comes back
+// without an answer. Every call ends once, and then the same command is sent and answered.
+func TestLateCommandComesBack(t *testing.T) {
+	s := newServer(newConfig(64))
+	silent, slots := startSilentAgent(t), cap(s.agents.commandSlots)
+	answering, received := startAnsweringAgent(t)
+	for i := range 4 * slots {
+		s.execute(controller.AgentCall{CallID: uint64(1000 + i), Address: silent, Commands: startCommand()})
+	}
+	time.Sleep(50 * time.Millisecond) // all of them wait before the last does
+	late := controller.AgentCall{CallID: 1, Address: answering, Commands: startCommand()}
+	s.execute(late)
+	results := takeResults(t, s, 4*slots+1)
+	if !results[1].NotSent || results[1].Heartbeat != nil || results[1].Waited == 0 || received.Load() != 0 {
+		t.Errorf("%+v, received %d times", results[1], received.Load())
+	}
+	sent := 0
+	for _, result := range results {
+		if result.Heartbeat != nil {
+			t.Errorf("answered: %+v", result)
+		}
+		if !result.NotSent {
+			sent++
+		}
+	}
+	if sent != slots {
+		t.Errorf("%d calls were sent, %d may be under way", sent, slots)
+	}
+	s.execute(late)
+	if result := takeResults(t, s, 1)[1]; result.NotSent || result.Heartbeat == nil || result.Waited != 0 || received.Load() != 1 {
+		t.Errorf("%+v, received %d times", result, received.Load())
+	}
+	if len(s.agents.commandSlots) != 0 {
+		t.Errorf("%d slots are taken", len(s.agents.commandSlots))
+	}
+}
+
+// TestCommandOfLapsedRight executes a command whose right has ended by the controller's clock, as after the
+// process has stood still. Nothing is sent, though there is nothing to wait for.
+func TestCommandOfLapsedRight(t *testing.T) {
+	s := newServer(newConfig(64))
+	answering, received := startAnsweringAgent(t)
+	s.execute(controller.AgentCall{CallID: 1, Address: answering, Commands: startCommand(), LeaveBefore: s.now() - 1})
+	if result := takeResults(t, s, 1)[1]; !result.NotSent || received.Load() != 0 {
+		t.Errorf("%+v, received %d times", result, received.Load())
+	}
+	s.execute(controller.AgentCall{CallID: 2, Address: answering, Commands: startCommand(), LeaveBefore: s.now() + units.Second})
+	if result := takeResults(t, s, 1)[2]; result.NotSent || received.Load() != 1 {
+		t.Errorf("%+v, received %d times", result, received.Load())
+	}
+}
+
+// TestSilentAgentsLeaveSlots has machines called again that did not answer before. They must leave some
+// calls to others: one that answers is not kept waiting by them.
+func TestSilentAgentsLeaveSlots(t *testing.T) {
+	s := newServer(newConfig(64))
+	slots := cap(s.agents.inspectSlots)
+	var silent []string
+	for range slots {
+		silent = append(silent, startSilentAgent(t))
+	}
+	answering, received := startAnsweringAgent(t)
+	for round := range 2 {
+		for i, address := range silent {
+			s.execute(controller.AgentCall{CallID: uint64(100*round + i), Address: address})
+		}
+		if round == 0 {
+			takeResults(t, s, slots)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.execute(controller.AgentCall{CallID: 1000, Address: answering})
+	if result := takeResults(t, s, 1)[1000]; result.Heartbeat == nil || received.Load() != 1 {
+		t.Errorf("%+v, received %d times", result, received.Load())
+	}
+	takeResults(t, s, slots)
+}
