--- a/internal/controller/agentstate.go
+++ b/internal/controller/agentstate.go
@@ -135,6 +135,9 @@
 // answered notes that the agent has answered.
 func (p *probe) answered() { p.inFlight, p.failedAt = false, 0 }
 
+// withdrawn notes that the probe did not leave: that says nothing of the agent.
+func (p *probe) withdrawn() { p.inFlight = false }
+
 // failed notes that it has not.
 func (p *probe) failed(now units.Micros) {
 	p.inFlight, p.failedAt = false, now
--- a/internal/controller/authority.go
+++ b/internal/controller/authority.go
@@ -39,6 +39,16 @@
 	return a.freshness.provenAt > 0 && a.now-a.freshness.provenAt < age
 }
 
+// commandsEnd is until when commands that are decided now may leave: as long as the proof that they rest on
+// is recent enough, and so as long as they could be decided on it. One that leaves later may start what
+// was cancelled in view of all others.
+func (a *authority) commandsEnd(withStart bool) units.Micros {
+	if withStart {
+		return a.freshness.provenAt + maxStartProofAge
+	}
+	return a.freshness.provenAt + a.cfg.Settings.StalenessBound()
+}
+
 // leads reports whether this process leads a partition, may act, and has a replica that shows all that
 // the former leader wrote.
 func (a *authority) leads(partition int) bool {
--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -84,6 +84,9 @@
 // answered notes that the agent has answered.
 func (d *directCommand) answered() { d.stage = commandSettled }
 
+// withdrawn notes that the command did not leave, and never will.
+func (d *directCommand) withdrawn() { d.stage = commandSettled }
+
 // unanswered notes that the agent has not: the command may be carried out at any time while token and
 // epoch stand.
 func (d *directCommand) unanswered() { d.stage = commandUnclear }
--- a/internal/controller/gateway.go
+++ b/internal/controller/gateway.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"frostdock.example/frostdock/internal/agent"
 	"frostdock.example/frostdock/internal/units"
 )
@@ -24,23 +26,62 @@
 	audit      *audit
 
 	calls         map[uint64]pendingAgentCall // not answered yet
-	heartbeats    []HeartbeatRequest          // that have come in this step
-	changed       []*machine                  // machines whose entries have changed in this step
-	heardAt       map[string]units.Micros     // when each machine was last heard here
-	registrations map[string]*registration    // by machine
+	callWaits     callWaits
+	heartbeats    []HeartbeatRequest       // that have come in this step
+	changed       []*machine               // machines whose entries have changed in this step
+	heardAt       map[string]units.Micros  // when each machine was last heard here
+	registrations map[string]*registration // by machine
 }
 
 // pendingAgentCall is a call to an agent without an answer yet.
 type pendingAgentCall interface {
 	// done takes the agent's heartbeat; nil if there was no answer.
 	done(heartbeat *agent.Heartbeat)
+	// notSent takes the news that the call did not leave in time, and never will.
+	notSent()
+}
+
+// callWaits is what is known of calls that had to wait for their turn, since it was last told.
+type callWaits struct {
+	waited  int // calls that did
+	notSent int // calls that came back
+	longest units.Micros
+}
+
+// note enters the result of a call.
+func (w *callWaits) note(result AgentResult) {
+	if result.Waited > 0 {
+		w.waited++
+		w.longest = max(w.longest, result.Waited)
+	}
+	if result.NotSent {
+		w.notSent++
+	}
 }
 
-// call calls an agent, to carry out commands or, if they are nil, for its heartbeat alone.
+// take returns what is known and begins anew.
+func (w *callWaits) take() callWaits {
+	taken := *w
+	*w = callWaits{}
+	return taken
+}
+
+// call calls an agent, to carry out commands or, if they are nil, for its heartbeat alone. There is one
+// command and one probe to a machine at a time, so that the calls that wait for their turn are bounded
+// by the number of machines.
 func (g *agentGateway) call(address string, commands *agent.CommandRequest, pending pendingAgentCall) {
 	id := g.newCallID()
 	g.calls[id] = pending
-	g.emit(AgentCall{CallID: id, Address: address, Commands: commands})
+	call := AgentCall{CallID: id, Address: address, Commands: commands}
+	if commands != nil {
+		call.LeaveBefore = g.authority.commandsEnd(hasStart(commands.Commands))
+	}
+	g.emit(call)
+}
+
+// hasStart reports whether commands start a task.
+func hasStart(commands []agent.Command) bool {
+	return slices.ContainsFunc(commands, func(command agent.Command) bool { return command.Action == agent.Start })
 }
 
 // handleResult takes the answer to a call.
@@ -50,6 +91,11 @@
 		return
 	}
 	delete(g.calls, result.CallID)
+	g.callWaits.note(result)
+	if result.NotSent {
+		pending.notSent()
+		return
+	}
 	pending.done(result.Heartbeat)
 }
 
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"frostdock.example/frostdock/internal/agent"
 )
@@ -88,7 +87,7 @@
 		g.refuse(request)
 		return
 	}
-	if slices.ContainsFunc(commands, func(command agent.Command) bool { return command.Action == agent.Start }) {
+	if hasStart(commands) {
 		m.agent.responses.startAt = g.now
 	}
 	g.reply(request.RequestID, http.StatusOK, agent.HeartbeatResponse{FencingToken: g.replica.fencingToken(m), Commands: commands})
--- a/internal/controller/push.go
+++ b/internal/controller/push.go
@@ -1,6 +1,9 @@
 package controller
 
-import "frostdock.example/frostdock/internal/agent"
+import (
+	"frostdock.example/frostdock/internal/agent"
+	"frostdock.example/frostdock/internal/units"
+)
 
 // pushCommands sends commands to the machines whose entries have changed. That waits until a step has
 // read all that it was given: what enters a task may be followed, in the same answer of the key-value
@@ -60,6 +63,28 @@
 	g.log.Info("direct command unanswered, fencing", "machine", m.name, "fencing_token", p.state.command.token)
 }
 
+// commandRetryDelay is how long after a direct command or a probe came back unsent the next is decided. The
+// machine's next heartbeat may come before.
+const commandRetryDelay = 250 * units.Millisecond
+
+// notSent lets the command be decided anew, from what is known then. Nothing has left, so there is nothing to
+// fence off.
+func (p *pushCall) notSent() {
+	g, m := p.gateway, p.machine
+	if m.agent != p.state {
+		return
+	}
+	p.state.command.withdrawn()
+	m.forgetOccupancy()
+	g.planNeeded = true
+	g.log.Debug("direct command not sent", "machine", m.name)
+	g.after(commandRetryDelay, func() {
+		if g.replica.machines[m.name] == m && m.agent == p.state {
+			g.push(m)
+		}
+	})
+}
+
 // probe asks a machine for its heartbeat.
 func (g *agentGateway) probe(m *machine) {
 	state := m.agent
@@ -78,6 +103,20 @@
 	epoch, sequence uint64      // of the latest heartbeat at that moment
 }
 
+// notSent asks again, unless the agent is heard meanwhile.
+func (p *probeCall) notSent() {
+	g, m, state := p.gateway, p.machine, p.state
+	if m.agent != state {
+		return
+	}
+	state.probe.withdrawn()
+	g.after(commandRetryDelay, func() {
+		if g.replica.machines[m.name] == m && m.agent == state && state.epoch == p.epoch && state.sequence == p.sequence {
+			g.probe(m)
+		}
+	})
+}
+
 func (p *probeCall) done(heartbeat *agent.Heartbeat) {
 	g, m, state := p.gateway, p.machine, p.state
 	if m.agent != state {
--- a/internal/controller/registration.go
+++ b/internal/controller/registration.go
@@ -59,6 +59,9 @@
 	tokenShown   uint64 // by the heartbeat that began it
 }
 
+// notSent gives the registration up, as if there had been no answer: the agent tries again.
+func (p *registrationProbe) notSent() { p.done(nil) }
+
 func (p *registrationProbe) done(heartbeat *agent.Heartbeat) {
 	g := p.gateway
 	if g.registrations[p.name] != p.registration {
--- a/internal/controller/summary.go
+++ b/internal/controller/summary.go
@@ -6,13 +6,14 @@
 
 // logSummary tells the state in one line, so that a log can be read from anywhere.
 func (c *Controller) logSummary() {
-	jobs := c.replica.countJobs()
+	jobs, calls := c.replica.countJobs(), c.agents.callWaits.take()
 	c.log.Info("summary", append(c.freshness.logAttrs(), "terms", c.partitions.terms(), "may_act", c.authority.mayAct(),
 		"invariants_violated", c.audit.violations, "store_ok", c.store.healthy(),
 		"jobs", jobs.accepted, "services", jobs.services, "tasks_waiting", jobs.tasksWaiting, "tasks_bound", jobs.tasksBound,
 		"machines", len(c.replica.machines), "machines_led", c.replica.countCommanded(),
 		"jobs_unlocated", len(c.replica.unlocatedJobs), "machines_unlocated", len(c.replica.unlocatedMachines),
 		"entries_undecided", c.facts.countUndecided(),
+		"calls_waited", calls.waited, "calls_longest_wait_s", calls.longest.Seconds(), "calls_not_sent", calls.notSent,
 		"requests_open", c.users.openCount(), "changes", c.budget.takeChangesByKind())...)
 }
 
--- a/internal/server/outbound.go
+++ b/internal/server/outbound.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -52,7 +53,8 @@
 	// timeout covers all of the call, with the wait for a connection. After it the connection is
 	// closed and never used again, and the outcome counts as unknown.
 	timeout    time.Duration
-	closeAfter bool // the connection is not kept for another request
+	closeAfter bool        // the connection is not kept for another request
+	timely     *timelyBody // carries the body if it may leave up to some moment only; nil: at any time
 }
 
 // exchange sends a request and decodes the answer into result, unless that is nil. It returns the
@@ -73,7 +75,12 @@
 			return noAnswer
 		}
 		req.Header.SetContentType(jsonContentType)
-		req.SetBody(encoded)
+		if request.timely != nil {
+			request.timely.rest = bytes.NewReader(encoded)
+			req.SetBodyStream(request.timely, len(encoded))
+		} else {
+			req.SetBody(encoded)
+		}
 	}
 	if err := client.DoTimeout(req, resp, request.timeout); err != nil {
 		return noAnswer
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,6 +12,8 @@
 //     without blocking, and each call of another process has a goroutine of its own;
 //   - a call is sent at most once and becomes exactly one message, also when there was no complete
 //     answer: whether the call was carried out is then unknown;
+//   - a call of an agent leaves soon after it was decided, while the right to it lasts, or not at all,
+//     which its message tells;
 //   - connections are bounded in each direction, so that neither users nor a large fleet can use up
 //     the sockets that the key-value store is reached by.
 //
@@ -22,7 +24,7 @@
 // [Server.Run] waits for the goroutines that it starts: listeners, heartbeat streams, the loop and the
 // log of latencies. The goroutines of calls belong to no group and are not waited for. Each ends once
 // its call has, for which there is a time limit, and the queue has taken the message; calls of agents wait
-// for a slot first (see agentClients). Those still under way at shutdown end with the process. A
+// for a slot first, for which there is a limit as well (see agentClients). Those still under way at shutdown end with the process. A
 // controller is prepared for that: any call may have been carried out without its answer arriving.
 package server
 
@@ -85,7 +87,7 @@
 	s.http = newHTTPServer(s.post, s.now, sockets)
 	s.kv = newKVClient(cfg.Endpoints.KVStore, s.post)
 	s.cloud = newCloudClient(cfg.Endpoints.Cloud, s.post)
-	s.agents = newAgentClients(sockets, s.post)
+	s.agents = newAgentClients(sockets, s.post, s.now)
 	for range cfg.Peers {
 		s.heartbeatStreams = append(s.heartbeatStreams, make(chan peer.Heartbeat, 1))
 	}
@@ -178,7 +180,7 @@
 	case controller.CloudCall:
 		go s.cloud.call(effect)
 	case controller.AgentCall:
-		go s.agents.call(effect)
+		go s.agents.call(effect, s.agents.leaveBefore(effect))
 	case controller.BroadcastHeartbeat:
 		s.broadcast(effect.Heartbeat)
 	}
--- a/internal/simulator/coinciding_faults_test.go
+++ b/internal/simulator/coinciding_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -19,6 +20,19 @@
 // TestHeldAnswers plays random days on which answers are delayed.
 func TestHeldAnswers(t *testing.T) { runSeeds(t, delayedAnswersDay, "HELD", 6) }
 
+// TestFewSockets plays random days of coinciding faults with so few sockets that calls of agents must wait.
+func TestFewSockets(t *testing.T) { runSeeds(t, fewSocketsDay, "SOCKETS", 6) }
+
+// fewSocketsDay writes a day of coinciding faults, or every third time of a large fleet, on which a
+// controller may have eight calls of agents of each kind under way.
+func fewSocketsDay(seed uint64) string {
+	day := coincidingFaultsDay(seed)
+	if seed%3 == 0 {
+		day = largeFleetDay(seed)
+	}
+	return strings.Replace(day, "set ", "set sockets=64 ", 1)
+}
+
 // delayedAnswersDay writes a day of coinciding faults on which answers to worker heartbeats are delayed
 // as well.
 func delayedAnswersDay(seed uint64) string {
--- a/internal/simulator/parser.go
+++ b/internal/simulator/parser.go
@@ -73,6 +73,7 @@
 	o.limits = config.KVLimits{RPS: 250, WriteRPS: args.number("writes", 25), ValueKB: args.number("value", 4), TxnOps: args.count("ops", 12)}
 	o.nextLimits = parseNextLimits(args)
 	o.historyLength = args.count("keep", 10000)
+	o.sockets = args.count("sockets", 2000)
 	o.lossRate = args.number("flaky", 0)
 	o.duplicateRate = args.number("copies", 0)
 	o.bootFailureRate = args.number("bootfail", 0)
--- a/internal/simulator/process.go
+++ b/internal/simulator/process.go
@@ -38,6 +38,9 @@
 	previousVersion bool // it runs the previous version
 	pausedUntil     units.Micros
 
+	commands    *agentCalls
+	inspections *agentCalls
+
 	inbox          []controller.Message
 	stepScheduled  bool
 	pendingReplies map[uint64]func(controller.Reply) // by request: who waits for the answer
@@ -70,6 +73,8 @@
 	}
 	p.controller = controller.New(cfg, policy.Default(), p.logger(), fmt.Sprintf("%s%04d", p.name, p.incarnation))
 	p.inbox, p.stepScheduled = nil, false
+	p.commands = newAgentCalls(p, maxCommandWaiting)
+	p.inspections = newAgentCalls(p, maxInspectWaiting)
 	p.pendingReplies = map[uint64]func(controller.Reply){}
 }
 
@@ -78,6 +83,8 @@
 	p.running, p.pausedUntil = false, 0
 	p.incarnation++
 	p.inbox = nil
+	p.commands.drop()
+	p.inspections.drop()
 }
 
 // restartAfter crashes the process and starts it again after a while.
@@ -147,7 +154,11 @@
 	case controller.CloudCall:
 		w.cloud.call(p.name, effect, func(result controller.CloudResult) { enqueue(result) })
 	case controller.AgentCall:
-		w.callAgent(p.name, effect, func(result controller.AgentResult) { enqueue(result) })
+		calls := p.inspections
+		if effect.Commands != nil {
+			calls = p.commands
+		}
+		calls.call(p.name, effect, func(result controller.AgentResult) { enqueue(result) })
 	case controller.BroadcastHeartbeat:
 		p.broadcast(effect)
 	}
