--- a/internal/controller/cancellation.go
+++ b/internal/controller/cancellation.go
@@ -37,7 +37,7 @@
 // send writes the outcome, and beside it the news of the cancellation, which the watch shows to all.
 func (p *pendingCancellation) send() {
 	id := p.request.JobID
-	if j := p.replica.jobs[id]; j == nil || !j.accepted {
+	if p.replica.acceptedJob(id) == nil {
 		p.users.askToRetry(p.request.RequestID)
 		return
 	}
--- a/internal/controller/capacity.go
+++ b/internal/controller/capacity.go
@@ -45,7 +45,7 @@
 	}
 	free := &resources{t.CPUs, t.GPUs, t.MemGB}
 	for key, status := range m.agent.tasks {
-		if j := c.replica.jobs[key.job]; status.State != agent.Ended && j != nil && j.accepted {
+		if j := c.replica.acceptedJob(key.job); status.State != agent.Ended && j != nil {
 			free.reserve(&j.spec, 1)
 		}
 	}
--- a/internal/controller/completions.go
+++ b/internal/controller/completions.go
@@ -46,8 +46,8 @@
 			continue
 		}
 		for task, completion := range m.agent.completions {
-			j := e.replica.jobs[task.job]
-			if j != nil && j.accepted && !e.leadsJob(j) && !j.done.Contains(task.num) {
+			j := e.replica.acceptedJob(task.job)
+			if j != nil && !e.leadsJob(j) && !j.done.Contains(task.num) {
 				ran := units.Micros(completion.tenths-1) * runTimeUnit
 				completed = append(completed, peer.EndedTask{Job: task.job, Num: task.num, Ran: int64(ran)})
 			}
@@ -62,8 +62,8 @@
 // apply notes what another controller has seen to complete.
 func (e *completionExchange) apply(completed []peer.EndedTask) {
 	for _, task := range completed {
-		j := e.replica.jobs[task.Job]
-		if j == nil || !j.accepted || !e.leadsJob(j) || task.Num < 0 || task.Num >= j.spec.Tasks || j.isDone(task.Num) {
+		j := e.replica.acceptedJob(task.Job)
+		if j == nil || !e.leadsJob(j) || task.Num < 0 || task.Num >= j.spec.Tasks || j.isDone(task.Num) {
 			continue
 		}
 		j.failures, j.succeeded = 0, true
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -52,7 +52,7 @@
 // noteDerivedCancellations notes that jobs are cancelled because of a dependency.
 func (g *dependencyGraph) noteDerivedCancellations(ids []string) {
 	for _, id := range ids {
-		if j := g.replica.jobs[id]; j != nil && j.accepted {
+		if j := g.replica.acceptedJob(id); j != nil {
 			j.forgetOccupancies()
 		}
 	}
--- a/internal/controller/featuregate.go
+++ b/internal/controller/featuregate.go
@@ -41,7 +41,7 @@
 // version before may still have writes under way when it is killed: each has the documents that it
 // writes as conditions, and fails if a later one was first.
 func (g *formatGate) raise() {
-	if g.replica.dependenciesEnabled() || !g.authority.mayAct() || g.store.failing || !g.budget.hasCredit() || g.commits.keysInFlight[schema.LayoutKey] {
+	if g.replica.dependenciesEnabled() || !g.authority.mayAct() || g.store.failing || !g.budget.hasCredit() || g.commits.isInFlight(schema.LayoutKey) {
 		return
 	}
 	conditions, ok := g.memberRegistrations()
--- a/internal/controller/jobstatus.go
+++ b/internal/controller/jobstatus.go
@@ -89,7 +89,7 @@
 	if outcome, ok := r.replica.outcomes.get(id); ok {
 		return outcomeStatus(id, outcome)
 	}
-	if j := r.replica.jobs[id]; j != nil && j.accepted && j.dependency.CancelledBy() != "" {
+	if j := r.replica.acceptedJob(id); j != nil && j.dependency.CancelledBy() != "" {
 		return statusOf(j)
 	}
 	return nil
@@ -144,8 +144,8 @@
 		q.found(outcomeStatus(q.jobID, outcome))
 		return
 	}
-	j := r.replica.jobs[q.jobID]
-	if j != nil && j.accepted && (!j.cancelled() || j.dependency.CancelledBy() != "") {
+	j := r.replica.acceptedJob(q.jobID)
+	if j != nil && (!j.cancelled() || j.dependency.CancelledBy() != "") {
 		q.found(statusOf(j))
 		return
 	}
--- a/internal/controller/occupancy.go
+++ b/internal/controller/occupancy.go
@@ -81,7 +81,7 @@
 		if status.State == agent.Ended || m.lists(key) {
 			continue
 		}
-		if j := p.replica.jobs[key.job]; j != nil && j.accepted {
+		if j := p.replica.acceptedJob(key.job); j != nil {
 			o.used.reserve(&j.spec, -1)
 		}
 		o.active++
--- a/internal/controller/plan_outcomes.go
+++ b/internal/controller/plan_outcomes.go
@@ -25,7 +25,7 @@
 // cancelled because of others leave so many joint changes.
 func (p *plan) removeFinished(jobs []*job, least int) {
 	for _, j := range jobs {
-		if p.commits.keysInFlight[schema.OutcomePrefix+j.id] {
+		if p.commits.isInFlight(schema.OutcomePrefix + j.id) {
 			continue
 		}
 		outcome, _ := p.replica.outcomes.get(j.id)
@@ -87,7 +87,7 @@
 		bytes += shard.size
 	}
 	return p.budget.jointLeft() >= changes && p.budget.bytes >= bytes &&
-		!p.commits.keysInFlight[shard.key] && shard.size <= p.store.limits.maxValueBytes()
+		!p.commits.isInFlight(shard.key) && shard.size <= p.store.limits.maxValueBytes()
 }
 
 // removeJob removes a job from its job shard; its outcome is stored, or goes with it. Its progress goes
@@ -108,7 +108,7 @@
 // mayRemoveProgress reports whether the progress of a removed job can go at once.
 func (p *plan) mayRemoveProgress(j *job) bool {
 	segment := j.progressSegment
-	if segment == nil || p.commits.keysInFlight[segment.key] || p.oversized(segment) {
+	if segment == nil || p.commits.isInFlight(segment.key) || p.oversized(segment) {
 		return false
 	}
 	return p.progress.written(j) ||
--- a/internal/controller/plan_releases.go
+++ b/internal/controller/plan_releases.go
@@ -121,8 +121,8 @@
 // beside it; zero if there is nothing to tell. It frees the task's part of its team's quota, and
 // tells the job's leader if that is another controller.
 func (p *planner) recordedRunTenths(m *machine, task *schema.Task) int {
-	j := p.replica.jobs[task.Job]
-	if j == nil || !j.accepted || m.agent == nil || !j.unstoredCompletions[task.Index] {
+	j := p.replica.acceptedJob(task.Job)
+	if j == nil || m.agent == nil || !j.unstoredCompletions[task.Index] {
 		return 0
 	}
 	if p.partitions.led[j.partition] != nil {
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -119,8 +119,8 @@
 		if slices.Contains(taken, key) {
 			continue
 		}
-		j := p.replica.jobs[task.Job]
-		if j == nil || !j.accepted || !p.facts.shouldRun(m.machine, task) || m.stops[key] > 0 || !rule.eligible(j) {
+		j := p.replica.acceptedJob(task.Job)
+		if j == nil || !p.facts.shouldRun(m.machine, task) || m.stops[key] > 0 || !rule.eligible(j) {
 			continue
 		}
 		loss := p.workLost(m.machine, j, key)
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -47,7 +47,7 @@
 	if stored := w.plan.replica.progressSegments[key]; stored != nil {
 		staged.size = stored.size
 		for id, progress := range stored.jobs {
-			if j := w.plan.replica.jobs[id]; j != nil && j.accepted {
+			if j := w.plan.replica.acceptedJob(id); j != nil {
 				staged.jobs[id] = progress
 			} else {
 				staged.size -= len(id) + len(progress.DoneRanges)
@@ -105,7 +105,7 @@
 
 // mayWrite reports whether a stored segment can be written by this plan, with so much more in it.
 func (w *progressWriter) mayWrite(segment *progressSegment, cost int) bool {
-	if w.plan.commits.keysInFlight[segment.key] {
+	if w.plan.commits.isInFlight(segment.key) {
 		return false
 	}
 	budget := &w.plan.budget
@@ -155,7 +155,7 @@
 	}
 	for number := 0; ; number++ {
 		key := schema.ProgressKey(w.plan.leadership.partition, number)
-		if w.plan.commits.keysInFlight[key] || w.segments[key] != nil {
+		if w.plan.commits.isInFlight(key) || w.segments[key] != nil {
 			continue
 		}
 		stored := w.plan.replica.progressSegments[key]
@@ -188,7 +188,7 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(p.replica.progressSegments)) {
 		segment := p.replica.progressSegments[key]
-		if segment.partition != p.leadership.partition || !p.oversized(segment) || p.commits.keysInFlight[key] {
+		if segment.partition != p.leadership.partition || !p.oversized(segment) || p.commits.isInFlight(key) {
 			continue
 		}
 		if !p.moveProgressOutOf(segment) || p.budget.jointLeft() < 1 {
@@ -203,8 +203,8 @@
 // space for all of it.
 func (p *plan) moveProgressOutOf(segment *progressSegment) bool {
 	for _, id := range slices.Sorted(maps.Keys(segment.jobs)) {
-		j := p.replica.jobs[id]
-		if j != nil && j.accepted && j.progressSegment == segment && !p.progress.put(j, segment.jobs[id]) {
+		j := p.replica.acceptedJob(id)
+		if j != nil && j.progressSegment == segment && !p.progress.put(j, segment.jobs[id]) {
 			return false
 		}
 	}
--- a/internal/controller/replica_observer.go
+++ b/internal/controller/replica_observer.go
@@ -62,8 +62,8 @@
 // everywhere and is placed on others' machines without end.
 func (d *changeDispatcher) noteUnaskedReleases(previous schema.Tasks) {
 	for _, task := range previous {
-		j := d.replica.jobs[task.Job]
-		if j == nil || !j.accepted || j.cancelled() || task.StopMode > 0 || j.isDone(task.Index) || d.partitions.led[j.partition] == nil {
+		j := d.replica.acceptedJob(task.Job)
+		if j == nil || j.cancelled() || task.StopMode > 0 || j.isDone(task.Index) || d.partitions.led[j.partition] == nil {
 			continue
 		}
 		if _, ok := j.bindings[task.Index]; !ok {
--- a/internal/controller/resharding.go
+++ b/internal/controller/resharding.go
@@ -195,7 +195,7 @@
 func (d *jobShardSplitter) longest() *jobShard {
 	var longest *jobShard
 	for _, shard := range d.replica.jobShards {
-		if d.countFor(shard.size) > 1 && !d.commits.keysInFlight[shard.key] && (longest == nil || shard.size > longest.size) {
+		if d.countFor(shard.size) > 1 && !d.commits.isInFlight(shard.key) && (longest == nil || shard.size > longest.size) {
 			longest = shard
 		}
 	}
--- a/internal/controller/shard_transfers.go
+++ b/internal/controller/shard_transfers.go
@@ -83,7 +83,7 @@
 			return false
 		}
 		for _, task := range m.kept {
-			if j := p.replica.jobs[task.Job]; j != nil && j.accepted && j.partition == shard.shard.partition {
+			if j := p.replica.acceptedJob(task.Job); j != nil && j.partition == shard.shard.partition {
 				return false
 			}
 		}
--- a/internal/controller/staging.go
+++ b/internal/controller/staging.go
@@ -6,7 +6,7 @@
 // controller only.
 func (p *plan) stageShards() {
 	for _, shard := range p.replica.machineShards {
-		if p.commits.keysInFlight[shard.key] {
+		if p.commits.isInFlight(shard.key) {
 			continue
 		}
 		staged := newStagedShard(p.planner, shard, shard.partition == p.leadership.partition, p.writeTag)
