--- a/internal/server/outbound_agent_test.go
+++ b/internal/server/outbound_agent_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -227,3 +229,19 @@
 		t.Errorf("%+v, received %d times", result, received.Load())
 	}
 }
+
+// TestBegunCommandIsNotCalledUnsent reads the body of a command in time, as its writer does, and looks for its
+// end when it is too late. What happened: the look for the end counted as too late, so a command whose body may
+// all have left came back as not sent, and nothing was fenced off. Why: every read looked at the clock, and
+// the writer reads once more after the last byte. The two reads of this test showed it.
+func TestBegunCommandIsNotCalledUnsent(t *testing.T) {
+	now := units.Second
+	body := &timelyBody{now: func() units.Micros { return now }, leaveBefore: now + 1, rest: bytes.NewReader([]byte("{}"))}
+	if n, err := body.Read(make([]byte, 8)); n != 2 || err != nil {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	now += units.Second
+	if n, err := body.Read(make([]byte, 8)); n != 0 || !errors.Is(err, io.EOF) || body.refused {
+		t.Errorf("%d bytes, %v, refused %v", n, err, body.refused)
+	}
+}
