--- a/internal/server/outbound_deadline.go
+++ b/internal/server/outbound_deadline.go
@@ -61,19 +61,22 @@
 
 // timelyBody is the body of a request that may leave up to some moment only. It is read when the request is
 // written to its connection, after the wait for that and for the dial; if it is too late then, nothing of it
-// is, and a request without its body is not carried out.
+// is, and a request without its body is not carried out. Only the first read looks at the clock: of a body
+// that has begun to leave nobody may say that it was not sent.
 type timelyBody struct {
 	now         func() units.Micros
 	leaveBefore units.Micros
 	rest        *bytes.Reader
+	begun       bool
 	refused     bool
 }
 
 // Read gives the body, or errTooLate.
 func (b *timelyBody) Read(into []byte) (int, error) {
-	if b.now() >= b.leaveBefore {
+	if !b.begun && b.now() >= b.leaveBefore {
 		b.refused = true
 		return 0, errTooLate
 	}
+	b.begun = true
 	return b.rest.Read(into)
 }
