--- a/review/standins/region.go
+++ b/review/standins/region.go
@@ -14,7 +14,7 @@
 	image          string
 	imageGB        float64
 	daemon         bool
-	runs           time.Duration // how long a task really runs
+	runsOf         func(piece string) time.Duration // how long a task really runs
 	stackS, stowS  float64
 }
 
@@ -115,6 +115,19 @@
 	r.done[piece] = true
 }
 
+// usage returns the CPUs that the tasks of a job use on machines.
+func (r *region) usage(id string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cpus := 0.0
+	for piece, machines := range r.on {
+		if jobIDOf(piece) == id {
+			cpus += float64(len(machines)) * r.jobs[id].cpus
+		}
+	}
+	return cpus
+}
+
 func (r *region) isCompleted(piece string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standins/users.go
+++ b/review/standins/users.go
@@ -79,9 +79,14 @@
 
 // submit submits a job as its user does, with retries for up to 60 s, and reports whether it was accepted.
 func (u *users) submit(s submission, runs time.Duration) bool {
+	return u.submitWith(s, func(string) time.Duration { return runs })
+}
+
+// submitWith is submit for a job whose tasks differ in their run times.
+func (u *users) submitWith(s submission, runsOf func(piece string) time.Duration) bool {
 	u.region.upload(s.UID, &jobFacts{
 		cpus: s.CPUs, memoryGB: s.MemoryGB, image: s.Pattern, imageGB: s.SizeGB, daemon: s.Cut == "daemon",
-		runs: runs, stackS: s.StackS, stowS: s.StowS,
+		runsOf: runsOf, stackS: s.StackS, stowS: s.StowS,
 	})
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); {
 		wait := time.Second
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -263,7 +263,7 @@
 		t.stage, w.changed = running, true
 		t.nextAt = time.Time{}
 		if !t.job.daemon {
-			t.nextAt = now.Add(t.job.runs)
+			t.nextAt = now.Add(t.job.runsOf(t.piece))
 		}
 		w.region.started(w, t.piece, t.pass)
 	case running:
@@ -431,3 +431,9 @@
 	id, _, _ := strings.Cut(piece, "/")
 	return id
 }
+
+func (w *worker) isRemoved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.removed
+}
