--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand"
 	"net"
 	"os"
 	"os/exec"
@@ -52,14 +54,17 @@
 	starts  int
 }
 
-// freeAddr returns a loopback address with a port that was free a moment ago.
+// freeAddr returns a loopback address with a port that is free now. The port is below those that systems give
+// to outgoing connections, so that none of these takes it while the controller is down.
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 200 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.Intn(18000))
+		if listener, err := net.Listen("tcp4", addr); err == nil {
+			listener.Close()
+			return addr, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // newNodes prepares the controllers of a deployment: their addresses and settings files.
