--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -54,13 +54,20 @@
 	starts  int
 }
 
+// givenAddrs holds the addresses that freeAddr has returned.
+var givenAddrs = map[string]bool{}
+
 // freeAddr returns a loopback address with a port that is free now. The port is below those that systems give
 // to outgoing connections, so that none of these takes it while the controller is down.
 func freeAddr() (string, error) {
 	for range 200 {
 		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.Intn(18000))
+		if givenAddrs[addr] {
+			continue
+		}
 		if listener, err := net.Listen("tcp4", addr); err == nil {
 			listener.Close()
+			givenAddrs[addr] = true
 			return addr, nil
 		}
 	}
