--- a/internal/controller/commands_test.go
+++ b/internal/controller/commands_test.go
@@ -28,7 +28,7 @@
 	o.put(schema.RegistrationKey("b", "1"), schema.Registration{Incarnation: "1", Format: schema.FormatDependencies})
 	o.put(schema.PartitionKey(1), schema.Partition{Term: 1, Member: "b", Incarnation: "1"})
 	job := schema.Job{ID: "j-000001", Team: "blue", Tasks: 1, CPUs: 1, MemGB: 1}
-	o.put(schema.JobShardKey(schema.JobShardIndex(job.ID, layout.JobShards)), schema.JobShard{Jobs: []schema.Job{job}})
+	o.put(schema.JobShardKey(schema.ShardIndex(job.ID, layout.JobShards)), schema.JobShard{Jobs: []schema.Job{job}})
 	o.put(shardOfMachine(layout), machineWith())
 	now := units.Second
 	var msgs []Message
@@ -51,7 +51,7 @@
 }
 
 func shardOfMachine(layout schema.Layout) string {
-	return schema.MachineShardKey(schema.MachineShardIndex("n-000001", layout.MachineShards))
+	return schema.MachineShardKey(schema.ShardIndex("n-000001", layout.MachineShards))
 }
 
 // machineWith returns the machine shard document with n-000001 and the given tasks.
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -25,8 +25,8 @@
 	store.put(schema.OutcomePrefix+"j-000001", outcome)
 	second := schema.Job{ID: "j-000002", Team: "red", Tasks: 1, CPUs: 1, Needs: schema.JobIDs{"j-000001"}}
 	third := schema.Job{ID: "j-000003", Team: "red", Tasks: 1, CPUs: 1, Needs: schema.JobIDs{"j-000002"}}
-	store.put(schema.JobShardKey(schema.JobShardIndex(second.ID, layout.JobShards)), schema.JobShard{Jobs: []schema.Job{second}})
-	store.put(schema.JobShardKey(schema.JobShardIndex(third.ID, layout.JobShards)), schema.JobShard{Jobs: []schema.Job{third}})
+	store.put(schema.JobShardKey(schema.ShardIndex(second.ID, layout.JobShards)), schema.JobShard{Jobs: []schema.Job{second}})
+	store.put(schema.JobShardKey(schema.ShardIndex(third.ID, layout.JobShards)), schema.JobShard{Jobs: []schema.Job{third}})
 	return c, store
 }
 
--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -234,7 +234,7 @@
 	jobShards := make([]schema.JobShard, len(c.replica.jobShards))
 	for j := range jobs {
 		id := fmt.Sprintf("j-%06d", j*577)
-		n := schema.JobShardIndex(id, len(jobShards))
+		n := schema.ShardIndex(id, len(jobShards))
 		jobShards[n].Jobs = append(jobShards[n].Jobs, schema.Job{ID: id, Class: "some-class", Team: "red", Tasks: tasksOfJob, CPUs: 2, MemGB: 7.4, Spot: true,
 			Image: fmt.Sprintf("img-%02d", rng.IntN(18)), ImageGB: float64(rng.IntN(300)) / 100, EstimatedSeconds: float64(rng.IntN(90000)) / 1000, AcceptedAt: 1e15 + rng.Int64N(5e8)})
 	}
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -28,7 +28,7 @@
 	planPeriod      period
 	transferPeriods map[int]*period // of transfers of machine shards, by partition
 	movePeriods     map[int]*period // of moves of services, by partition
-	oversizedLog    period
+	unsplittableLog period
 	weightLog       period
 }
 
--- a/internal/controller/resharding.go
+++ b/internal/controller/resharding.go
@@ -22,7 +22,7 @@
 	machineShardSplitShare = 0.5                     // share of this controller's change rate for splits of machine shards
 	jobShardSplitShare     = 0.25                    // share of this controller's change rate for splits of job shards
 	jobShardSplitPeriod    = 100 * units.Millisecond // minimum time between two checks for a job shard to split
-	oversizedLogPeriod     = 10 * units.Second       // minimum time between warnings about machine shards that cannot be split
+	unsplittableLogPeriod  = 10 * units.Second       // minimum time between warnings about shards that cannot be split
 )
 
 // documentSplitter decides when documents are split, and into how many parts. It keeps no state and
@@ -49,23 +49,73 @@
 	value json.RawMessage
 }
 
-// splitToFit splits a document into the fewest parts, from minParts to maxParts, that all fit the limits
-// that this controller applies; split returns the document in the given number of parts. If even maxParts
-// parts are too long, splitToFit returns them as a first step, provided that the store still accepts them
-// under its present limits. If not, it returns nil.
-func (d *documentSplitter) splitToFit(minParts, maxParts int, split func(parts int) []splitDocument) []splitDocument {
-	for parts := minParts; parts <= maxParts; parts++ {
-		if documents := split(parts); longestDocument(documents) <= d.store.limits.maxValueBytes() {
+// splittableShard is a shard that can be split: a machine shard that a plan has staged, or a job shard.
+type splittableShard interface {
+	// nameSet returns the names that the shard lists, and the set of names that it owns.
+	nameSet() nameSet
+	// split returns the shard's document in the given number of parts.
+	split(parts int) []splitDocument
+}
+
+// nameSet is the names of a shard's entries, with the number of the shard and its shard count.
+type nameSet struct {
+	names             []string
+	shard, shardCount int
+}
+
+// part returns which of the given number of parts a name falls into, from 0.
+func (s nameSet) part(name string, parts int) int {
+	return (schema.ShardIndex(name, s.shardCount*parts) - s.shard) / s.shardCount
+}
+
+// isDividedInto reports whether a split into that many parts leaves less than all entries in each part. One
+// that does not divide them would be as long as before, and would be split again without end.
+func (s nameSet) isDividedInto(parts int) bool {
+	return slices.ContainsFunc(s.names, func(name string) bool { return s.part(name, parts) != s.part(s.names[0], parts) })
+}
+
+// maxParts returns into how many parts a shard may be split: as many as one transaction can write, and not
+// so many that their shard count would be above the one that every version of this program can read.
+func (d *documentSplitter) maxParts(shardCount int) int {
+	return min(d.store.limits.TxnOps, schema.MaxShardCount/shardCount)
+}
+
+// partCounts returns the numbers of parts into which a split divides the entries, in the order in which they
+// are to be tried: from minParts up, then the smaller ones.
+func (d *documentSplitter) partCounts(minParts int, names nameSet) []int {
+	var larger, smaller []int
+	for parts := d.maxParts(names.shardCount); parts >= 2; parts-- {
+		switch {
+		case !names.isDividedInto(parts):
+		case parts >= minParts:
+			larger = append(larger, parts)
+		default:
+			smaller = append(smaller, parts)
+		}
+	}
+	slices.Reverse(larger)
+	return append(larger, smaller...)
+}
+
+// splitToFit splits a shard into the fewest parts, but at least minParts if possible, that all fit the limits
+// that this controller applies. If no split makes them fit, it returns the one into most parts as a first
+// step, provided that the store still accepts it under its present limits. If not, or if no split divides
+// the shard's entries, it returns nil.
+func (d *documentSplitter) splitToFit(minParts int, shard splittableShard) []splitDocument {
+	var firstStep []splitDocument
+	for _, parts := range d.partCounts(minParts, shard.nameSet()) {
+		documents := shard.split(parts)
+		if longestDocument(documents) <= d.store.limits.maxValueBytes() {
 			return documents
 		}
+		if len(documents) > len(firstStep) {
+			firstStep = documents
+		}
 	}
-	if maxParts < 2 || d.store.limits.ratesLowered {
+	if d.store.limits.ratesLowered || longestDocument(firstStep) > maxValueBytes(d.cfg.Settings.KVStore.ValueKB) {
 		return nil
 	}
-	if documents := split(maxParts); longestDocument(documents) <= maxValueBytes(d.cfg.Settings.KVStore.ValueKB) {
-		return documents
-	}
-	return nil
+	return firstStep
 }
 
 // longestDocument returns the length of the longest value, in bytes.
@@ -92,8 +142,8 @@
 	}
 	changes := 0
 	for _, shard := range p.shardsToSplit() {
-		documents := p.splits.splitToFit(p.splits.partCount(shard.shard.size), p.store.limits.TxnOps, shard.split)
-		if len(documents) < 2 {
+		documents := p.splits.splitToFit(p.splits.partCount(shard.shard.size), shard)
+		if len(documents) == 0 {
 			p.warnUnsplittable(shard)
 			continue
 		}
@@ -122,8 +172,8 @@
 }
 
 func (p *plan) warnUnsplittable(shard *stagedShard) {
-	if p.oversizedLog.due(p.now, oversizedLogPeriod) {
-		p.log.Warn("cannot split machine shard yet", "shard", shard.shard.number, "bytes", shard.shard.size)
+	if p.unsplittableLog.due(p.now, unsplittableLogPeriod) {
+		p.log.Warn("cannot split machine shard yet", "shard", shard.shard.number, "bytes", shard.shard.size, "machines", len(shard.machines))
 	}
 }
 
@@ -134,21 +184,29 @@
 	p.budget.takeBytes(documents*documentOverheadBytes + shard.shard.size)
 }
 
+// nameSet returns the names of the staged machines.
+func (s *stagedShard) nameSet() nameSet {
+	set := nameSet{shard: s.shard.number, shardCount: s.planner.replica.machineDirectory.countOf(s.shard.number)}
+	for _, machine := range s.document().Machines {
+		set.names = append(set.names, machine.Name)
+	}
+	return set
+}
+
 // split returns the machine shard's document in the given number of parts.
 func (s *stagedShard) split(parts int) []splitDocument {
-	whole := s.document()
-	shardCount := max(s.shard.shardCount, s.planner.replica.layout.MachineShards)
+	whole, names := s.document(), s.nameSet()
 	shards := make([]schema.MachineShard, parts)
 	for i := range shards {
-		shards[i] = schema.MachineShard{Partition: whole.Partition, Handovers: whole.Handovers, ShardCount: shardCount * parts, WriteTag: whole.WriteTag}
+		shards[i] = schema.MachineShard{Partition: whole.Partition, Handovers: whole.Handovers, ShardCount: names.shardCount * parts, WriteTag: whole.WriteTag}
 	}
 	for _, machine := range whole.Machines {
-		part := &shards[(schema.MachineShardIndex(machine.Name, shardCount*parts)-s.shard.number)/shardCount]
+		part := &shards[names.part(machine.Name, parts)]
 		part.Machines = append(part.Machines, machine)
 	}
 	documents := make([]splitDocument, parts)
 	for i := range shards {
-		documents[i] = splitDocument{schema.MachineShardKey(s.shard.number + i*shardCount), encode(shards[i])}
+		documents[i] = splitDocument{schema.MachineShardKey(s.shard.number + i*names.shardCount), encode(shards[i])}
 	}
 	return documents
 }
@@ -161,8 +219,9 @@
 	authority *authority
 	commits   *committer
 
-	inFlight  bool
-	notBefore units.Micros
+	inFlight        bool
+	notBefore       units.Micros
+	unsplittableLog period
 }
 
 // run starts a split if a job shard is too long and there is credit for it.
@@ -171,19 +230,17 @@
 		return
 	}
 	d.notBefore = d.now + jobShardSplitPeriod
-	shard := d.longest()
-	if shard == nil {
-		return
-	}
-	writeTag := d.commits.newWriteTag()
-	documents := d.splitToFit(d.partCount(shard.size), d.store.limits.TxnOps, func(parts int) []splitDocument {
-		return d.split(shard, parts, writeTag)
-	})
-	if len(documents) < 2 {
-		return
+	for _, shard := range d.shardsToSplit() {
+		staged := stagedJobShard{d, shard, d.commits.newWriteTag()}
+		if documents := d.splitToFit(d.partCount(shard.size), staged); len(documents) > 0 {
+			d.log.Info("splitting job shard", "shard", shard.key, "bytes", shard.size, "pieces", len(documents), "longest", longestDocument(documents))
+			d.commit(documents, staged.writeTag)
+			return
+		}
+		if d.unsplittableLog.due(d.now, unsplittableLogPeriod) {
+			d.log.Warn("cannot split job shard yet", "shard", shard.key, "bytes", shard.size, "jobs", len(shard.jobIDs))
+		}
 	}
-	d.log.Info("splitting job shard", "shard", shard.key, "bytes", shard.size, "pieces", len(documents), "longest", longestDocument(documents))
-	d.commit(documents, writeTag)
 }
 
 // maySplit reports whether this controller may split a job shard now.
@@ -192,15 +249,16 @@
 		d.writes.credit >= minPlanCredit && d.now >= d.notBefore
 }
 
-// longest returns the longest of the job shards that are to be split, or nil if there is none.
-func (d *jobShardSplitter) longest() *jobShard {
-	var longest *jobShard
+// shardsToSplit returns the job shards that have become too long, the longest first.
+func (d *jobShardSplitter) shardsToSplit() []*jobShard {
+	var oversized []*jobShard
 	for _, shard := range d.replica.jobShards {
-		if d.partCount(shard.size) > 1 && !d.commits.isInFlight(shard.key) && (longest == nil || shard.size > longest.size) {
-			longest = shard
+		if d.partCount(shard.size) > 1 && !d.commits.isInFlight(shard.key) {
+			oversized = append(oversized, shard)
 		}
 	}
-	return longest
+	slices.SortStableFunc(oversized, func(a, b *jobShard) int { return cmp.Compare(b.size, a.size) })
+	return oversized
 }
 
 // commit writes the documents of a split in one transaction.
@@ -218,20 +276,32 @@
 	})
 }
 
+// stagedJobShard is a job shard's document as a splitter is going to write it.
+type stagedJobShard struct {
+	splitter *jobShardSplitter
+	shard    *jobShard
+	writeTag string
+}
+
+// nameSet returns the ids of the jobs.
+func (s stagedJobShard) nameSet() nameSet {
+	return nameSet{s.shard.jobIDs, s.shard.number, s.splitter.replica.jobDirectory.countOf(s.shard.number)}
+}
+
 // split returns the job shard's document in the given number of parts.
-func (d *jobShardSplitter) split(shard *jobShard, parts int, writeTag string) []splitDocument {
-	shardCount := max(shard.shardCount, d.replica.layout.JobShards)
+func (s stagedJobShard) split(parts int) []splitDocument {
+	names := s.nameSet()
 	shards := make([]schema.JobShard, parts)
 	for i := range shards {
-		shards[i] = schema.JobShard{ShardCount: shardCount * parts, WriteTag: writeTag}
+		shards[i] = schema.JobShard{ShardCount: names.shardCount * parts, WriteTag: s.writeTag}
 	}
-	for _, job := range d.replica.jobShardDocument(shard, nil).Jobs {
-		part := &shards[(schema.JobShardIndex(job.ID, shardCount*parts)-shard.number)/shardCount]
+	for _, job := range s.splitter.replica.jobShardDocument(s.shard, nil).Jobs {
+		part := &shards[names.part(job.ID, parts)]
 		part.Jobs = append(part.Jobs, job)
 	}
 	documents := make([]splitDocument, parts)
 	for i := range shards {
-		documents[i] = splitDocument{schema.JobShardKey(shard.number + i*shardCount), encode(shards[i])}
+		documents[i] = splitDocument{schema.JobShardKey(s.shard.number + i*names.shardCount), encode(shards[i])}
 	}
 	return documents
 }
--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -82,7 +83,7 @@
 	for _, m := range c.replica.machineShards[3].machines {
 		shard.machines = append(shard.machines, &stagedMachine{machine: m, shard: shard, kept: m.doc.Tasks})
 	}
-	return append(shard.split(3), c.jobShardSplits.split(c.replica.jobShards[5], 2, "mark")...)
+	return append(shard.split(3), stagedJobShard{c.jobShardSplits, c.replica.jobShards[5], "mark"}.split(2)...)
 }
 
 // TestMovedTwice shows a replica two splits of one job shard together, in every order in which an answer of
@@ -126,3 +127,135 @@
 		})
 	}
 }
+
+// newSplitter returns a controller that may split shards, with values of up to 2 KiB.
+func newSplitter(t *testing.T) *Controller {
+	t.Helper()
+	c, _ := newTestPlan(t)
+	c.store.limits.ValueKB, c.store.limits.TxnOps = 2, 10
+	c.cfg.Settings.Workers.HeartbeatS, c.cfg.Settings.Workers.LeaseS, c.cfg.Settings.Workers.CancelS = 6, 31, 56
+	c.replica.format = schema.FormatDependencies
+	return c
+}
+
+// TestSplitsEnd guards against shards that were split without end, because one machine or a group of jobs that
+// no split divides was longer than the size at which shards are split (ran_twice in review/1, forgotten in
+// the review's run "jobshard"). Shards are split until none is to be split any more: each split must divide
+// the entries, and leave documents that every version can read.
+func TestSplitsEnd(t *testing.T) {
+	const entries = 24
+	for name, number := range map[string]func(i int) int{
+		"one machine holds nearly all tasks":  func(i int) int { return i },
+		"numbers that no small split divides": func(i int) int { return i * 241920 },
+		"numbers that an odd split divides":   func(i int) int { return i << 12 },
+		"one number":                          func(int) int { return 7 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newSplitter(t)
+			machines, jobs := schema.MachineShard{}, schema.JobShard{}
+			for i := range entries {
+				tasks := 10
+				if i == 0 {
+					tasks = 200
+				}
+				machines.Machines = append(machines.Machines, busyMachine(fmt.Sprintf("n%02d-%d", i, 3+96*number(i)), tasks))
+				jobs.Jobs = append(jobs.Jobs, schema.Job{ID: fmt.Sprintf("j%02d-%d", i, 5+48*number(i)), Class: fmt.Sprintf("class %d of many", i*i), Tasks: 1 + i*i*i})
+			}
+			c.replica.apply(schema.MachineShardKey(3), encode(machines), 10, false)
+			c.replica.apply(schema.JobShardKey(5), encode(jobs), 11, false)
+			splits := splitAll(t, c)
+			if splits >= 2*entries {
+				t.Errorf("%d splits of two shards with %d entries each", splits, entries)
+			}
+			if total := machinesInShards(c); total != entries {
+				t.Errorf("machine shards have %d machines", total)
+			}
+			checkAccepted(t, c, jobs.Jobs)
+		})
+	}
+}
+
+// busyMachine returns a machine with the given number of tasks, each of another job.
+func busyMachine(name string, tasks int) schema.Machine {
+	machine := schema.Machine{Name: name, Addr: "10.0.0.1:9000", MachineKind: schema.MachineKind{Type: "big", Zone: "a"}}
+	for i := range tasks {
+		machine.Tasks = append(machine.Tasks, schema.Task{Job: fmt.Sprintf("j-%06d", i*48611%999983), Attempt: 3<<28 | uint64(i*7)})
+	}
+	return machine
+}
+
+// splitAll splits the controller's shards until none is to be split any more, and returns the number of splits.
+func splitAll(t *testing.T, c *Controller) int {
+	t.Helper()
+	for splits := 0; ; splits++ {
+		documents := nextSplit(c)
+		if documents == nil {
+			return splits
+		}
+		if splits > 100 {
+			t.Fatal("shards are split without end")
+		}
+		for _, document := range documents {
+			checkReadable(t, document)
+			c.replica.apply(document.key, document.value, uint64(20+splits), false)
+		}
+	}
+}
+
+// nextSplit returns the documents of the next split, nil if no shard is to be split.
+func nextSplit(c *Controller) []splitDocument {
+	p := newPlan(c.planner, c.partitions.led[0])
+	p.stageShards()
+	for _, shard := range p.shardsToSplit() {
+		if documents := c.splits.splitToFit(c.splits.partCount(shard.shard.size), shard); documents != nil {
+			return documents
+		}
+	}
+	for _, shard := range c.jobShardSplits.shardsToSplit() {
+		if documents := c.splits.splitToFit(c.splits.partCount(shard.size), stagedJobShard{c.jobShardSplits, shard, "tag"}); documents != nil {
+			return documents
+		}
+	}
+	return nil
+}
+
+// maxReadableShardCount is the largest shard count that the versions before the fix of TestSplitsEnd read.
+const maxReadableShardCount = 65536
+
+// checkReadable checks that every version reads a shard.
+func checkReadable(t *testing.T, document splitDocument) {
+	t.Helper()
+	var shard struct {
+		ShardCount int `json:"of"`
+	}
+	if err := json.Unmarshal(schema.PlainJSON(document.value), &shard); err != nil || shard.ShardCount > maxReadableShardCount {
+		t.Fatalf("%s: shard count %d, %v", document.key, shard.ShardCount, err)
+	}
+}
+
+// TestUnsplittableShardHidesNoOther has two job shards that are too long, of which no split divides the longer
+// one. Only the longest shard was considered, so the other was never split and took no more jobs.
+func TestUnsplittableShardHidesNoOther(t *testing.T) {
+	c := newSplitter(t)
+	for shard, jobs := range map[int]int{5: 120, 6: 90} {
+		var document schema.JobShard
+		for i := range jobs {
+			id := fmt.Sprintf("j%02d-%d", i, shard)
+			if shard == 6 {
+				id = fmt.Sprintf("j-%d", shard+i*len(c.replica.jobShards))
+			}
+			document.Jobs = append(document.Jobs, schema.Job{ID: id, Class: fmt.Sprintf("class %d of many", i*i), Tasks: 1 + i*i*i})
+		}
+		c.replica.apply(schema.JobShardKey(shard), encode(document), 10, false)
+	}
+	oversized := c.jobShardSplits.shardsToSplit()
+	if len(oversized) != 2 || oversized[0].number != 5 {
+		t.Fatalf("%d shards are too long", len(oversized))
+	}
+	c.membership.registered, c.freshness.provenAt = true, c.now
+	c.replica.beginSync(20)
+	c.jobShardSplits.run()
+	if !c.jobShardSplits.inFlight || !c.commits.isInFlight(schema.JobShardKey(6)) {
+		t.Error("the shorter shard is not split")
+	}
+}
--- a/internal/controller/shard_directory.go
+++ b/internal/controller/shard_directory.go
@@ -95,7 +95,7 @@
 // moved it.
 func (d *shardDirectory) superseded(name string, shard int) bool {
 	owner, shown := d.owner(name)
-	owned := schema.MachineShardIndex(name, d.countOf(shard)) == shard
+	owned := schema.ShardIndex(name, d.countOf(shard)) == shard
 	return shown && owned && owner != shard && d.countOf(owner) > d.countOf(shard)
 }
 
--- a/internal/controller/shard_histories_test.go
+++ b/internal/controller/shard_histories_test.go
@@ -130,7 +130,7 @@
 		s.jobs[owner+i*count] = &schema.JobShard{ShardCount: count * parts}
 	}
 	for _, job := range whole.Jobs {
-		part := s.jobs[schema.JobShardIndex(job.ID, count*parts)]
+		part := s.jobs[schema.ShardIndex(job.ID, count*parts)]
 		part.Jobs = append(part.Jobs, job)
 	}
 	for i := range parts {
@@ -187,7 +187,7 @@
 		s.machines[owner+i*count] = &schema.MachineShard{ShardCount: count * parts}
 	}
 	for _, machine := range whole.Machines {
-		part := s.machines[schema.MachineShardIndex(machine.Name, count*parts)]
+		part := s.machines[schema.ShardIndex(machine.Name, count*parts)]
 		part.Machines = append(part.Machines, machine)
 	}
 	for i := range parts {
@@ -620,7 +620,7 @@
 		c.replica.apply(schema.JobShardKey(n), encode(schema.JobShard{ShardCount: 4 * base}), 30, false)
 	}
 	checkAccepted(t, c, []schema.Job{job})
-	for _, document := range c.jobShardSplits.split(c.replica.jobShards[baseShard], 2, "tag") {
+	for _, document := range (stagedJobShard{c.jobShardSplits, c.replica.jobShards[baseShard], "tag"}).split(2) {
 		c.replica.apply(document.key, document.value, 40, false)
 	}
 	checkAccepted(t, c, []schema.Job{job})
--- a/internal/schema/layout.go
+++ b/internal/schema/layout.go
@@ -158,14 +158,10 @@
 	return max(minShards, min(maxShards, int(totalShardsKB/valueKB)))
 }
 
-// MachineShardIndex returns the number of the shard that a machine belongs to if there are that many
-// shards and none was split. Names are numbered in order of creation, so machines that are rented
-// together are in different shards.
-func MachineShardIndex(machine string, shards int) int { return nameNumber(machine) % shards }
-
-// JobShardIndex returns the number of the shard that a job belongs to if there are that many shards and
-// none was split.
-func JobShardIndex(job string, shards int) int { return nameNumber(job) % shards }
+// ShardIndex returns the number of the shard that a name belongs to if there are that many shards and none
+// was split. Machines are numbered in order of creation, so those that are rented together are in different
+// shards.
+func ShardIndex(name string, shards int) int { return nameNumber(name) % shards }
 
 // FindShard returns the number of the shard that a name belongs to, where shards may have been split.
 //
--- a/internal/schema/layout_test.go
+++ b/internal/schema/layout_test.go
@@ -22,7 +22,7 @@
 	}
 	machines := map[int]int{}
 	for n := range 1000 {
-		machines[MachineShardIndex(fmt.Sprintf("n-%06d", n), 96)]++
+		machines[ShardIndex(fmt.Sprintf("n-%06d", n), 96)]++
 	}
 	for shard, count := range machines {
 		if count > 11 {
