--- a/internal/controller/accepts.go
+++ b/internal/controller/accepts.go
@@ -97,7 +97,8 @@
 
 // takePending empties the queue and returns the submissions whose requests are still open, by job shard.
 // Submissions whose owning shard the replica has not seen yet stay queued: in any other shard the job
-// would not be found again.
+// would not be found again. Those whose shard is not readable are refused: it may list the job already, and
+// must not be overwritten.
 func (q *acceptQueue) takePending() map[*jobShard][]pendingSubmission {
 	pending := map[*jobShard][]pendingSubmission{}
 	var waiting []pendingSubmission
@@ -106,11 +107,15 @@
 			continue
 		}
 		owner, shown := q.replica.jobDirectory.owner(submission.job.ID)
+		shard := q.replica.jobShards[owner]
+		if shard.unreadable {
+			q.users.askToRetry(submission.requestID)
+			continue
+		}
 		if !shown {
 			waiting = append(waiting, submission)
 			continue
 		}
-		shard := q.replica.jobShards[owner]
 		pending[shard] = append(pending[shard], submission)
 	}
 	q.pending = waiting
--- a/internal/controller/authority.go
+++ b/internal/controller/authority.go
@@ -30,9 +30,10 @@
 	return a.membership.registered && a.replica.complete() && a.proofYoungerThan(a.cfg.Settings.StalenessBound())
 }
 
-// mayStartTasks reports whether this process may act and its replica is recent enough to start tasks.
+// mayStartTasks reports whether this process may act, and its replica is recent enough to start tasks and lacks
+// no document: one that is not readable may say that a task is on another machine, or is done.
 func (a *authority) mayStartTasks() bool {
-	return a.mayAct() && a.proofYoungerThan(maxStartProofAge)
+	return a.mayAct() && a.replica.allReadable() && a.proofYoungerThan(maxStartProofAge)
 }
 
 func (a *authority) proofYoungerThan(age units.Micros) bool {
--- a/internal/controller/autoscaler.go
+++ b/internal/controller/autoscaler.go
@@ -139,9 +139,13 @@
 	return a
 }
 
-// run does the autoscaling work that is due in this step.
+// run does the autoscaling work that is due in this step. Without an unreadable document neither the demand nor
+// the machines that have an entry are known: then none is rented or deleted.
 func (a *autoscaler) run() {
 	a.catalog.refreshWhenDue()
+	if !a.replica.allReadable() {
+		return
+	}
 	scaling := a.leadership.leadsAny() && a.scalingPeriod.due(a.now, scalingPeriod)
 	var unmet []unmetDemand
 	if scaling {
--- a/internal/controller/dependencycheck.go
+++ b/internal/controller/dependencycheck.go
@@ -92,6 +92,9 @@
 
 // noteRead records the result of reading a dependency's outcome from the store.
 func (d *dependencyCheck) noteRead(id string, read outcomeResult) {
+	if read.lookup == lookupNone && !d.replica.provesNeverAccepted(id) {
+		read.lookup = lookupUndecided
+	}
 	switch read.lookup {
 	case lookupFound:
 		d.noteOutcome(id, read.outcome)
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -78,6 +78,7 @@
 // format and the machines.
 func (c *Controller) superviseLeadership() {
 	c.replicator.checkLag()
+	c.replica.logUnreadable()
 	c.leaderships.balance()
 	c.gate.raise()
 	c.fleet.check()
--- a/internal/controller/featuregate.go
+++ b/internal/controller/featuregate.go
@@ -41,7 +41,7 @@
 // still have writes in flight when it is killed: each of them is conditional on the revisions of the
 // documents that it replaces, and fails if a later write was applied first.
 func (g *formatGate) raise() {
-	if g.replica.dependenciesEnabled() || !g.authority.mayAct() || g.store.failing || !g.budget.hasCredit() || g.commits.isInFlight(schema.LayoutKey) {
+	if g.replica.dependenciesEnabled() || !g.authority.mayAct() || !g.replica.allReadable() || g.store.failing || !g.budget.hasCredit() || g.commits.isInFlight(schema.LayoutKey) {
 		return
 	}
 	conditions, ok := g.memberRegistrations()
--- a/internal/controller/jobstatus.go
+++ b/internal/controller/jobstatus.go
@@ -159,6 +159,9 @@
 		q.found(outcomeStatus(q.jobID, result.outcome))
 		return
 	}
+	if result.lookup == lookupNone && !q.reader.replica.provesNeverAccepted(q.jobID) {
+		result.lookup = lookupUndecided
+	}
 	q.done(statusResult{lookup: result.lookup})
 }
 
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -48,15 +48,27 @@
 // partitionChanged updates the led partitions after the replica has received a new document of a partition.
 func (l *leadershipManager) partitionChanged(partition int) {
 	p := l.replica.partitions[partition]
-	mine := l.membership.registered && newProcessID(p.doc.Member, p.doc.Incarnation) == l.membership.process()
 	own := l.partitions.led[partition]
+	if p == nil { // the document is not readable
+		l.resign(partition, own, schema.Partition{})
+		return
+	}
+	mine := l.membership.registered && newProcessID(p.doc.Member, p.doc.Incarnation) == l.membership.process()
 	switch {
 	case mine && (own == nil || own.revision != p.revision):
 		l.begin(partition, p)
-	case !mine && own != nil:
-		l.partitions.resign(partition)
-		l.log.Info("leadership lost", append(l.freshness.logAttrs(), "partition", partition, "to", p.doc.Member, "term", p.doc.Term, "own_term", own.term, "held_s", (l.now-own.since).Seconds())...)
+	case !mine:
+		l.resign(partition, own, p.doc)
+	}
+}
+
+// resign ends this process's leadership of a partition, if own is not nil, in favour of the one in doc.
+func (l *leadershipManager) resign(partition int, own *leadership, doc schema.Partition) {
+	if own == nil {
+		return
 	}
+	l.partitions.resign(partition)
+	l.log.Info("leadership lost", append(l.freshness.logAttrs(), "partition", partition, "to", doc.Member, "term", doc.Term, "own_term", own.term, "held_s", (l.now-own.since).Seconds())...)
 }
 
 // begin starts to lead a partition, or restarts if it was led under an earlier revision of its document.
@@ -92,7 +104,8 @@
 	l.transferSurplus(processes, load)
 }
 
-// loads returns the load of each process, and the partitions without a registered leader.
+// loads returns the load of each process, and the partitions without a registered leader. A partition whose
+// document is not readable counts as led: its leader and its term are unknown.
 func (l *leadershipManager) loads(processes []processID) (load map[processID]int, orphans []int) {
 	load = map[processID]int{}
 	for _, process := range processes {
@@ -101,7 +114,7 @@
 	for n := range l.cfg.Settings.Size {
 		if p := l.replica.partitions[n]; p != nil && l.replica.leaderRegistered(p) {
 			load[newProcessID(p.doc.Member, p.doc.Incarnation)] += l.partitions.withTeams.load(n)
-		} else {
+		} else if !l.replica.unreadable[schema.PartitionKey(n)] {
 			orphans = append(orphans, n)
 		}
 	}
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -80,10 +80,11 @@
 	newPlan(p, led).run()
 }
 
-// mayPlan reports whether a led partition can be planned for now: authority permits it, the results of
-// its last commits are known, the pause after a failed one is over, the replica shows the changes that
-// they conflicted with, and the store, write credit and the catalog of machine types are available.
+// mayPlan reports whether a led partition can be planned for now: authority permits it, every document is
+// readable, the results of its last commits are known, the pause after a failed one is over, the replica shows
+// the changes that they conflicted with, and the store, write credit and the catalog of machine types are
+// available.
 func (p *planner) mayPlan(led *leadership) bool {
-	return led.commitsInFlight == 0 && p.authority.leads(led.partition) && !p.store.failing && p.now >= led.planning.pausedUntil &&
+	return led.commitsInFlight == 0 && p.authority.leads(led.partition) && p.replica.allReadable() && !p.store.failing && p.now >= led.planning.pausedUntil &&
 		p.replica.watchRevision >= led.planning.requiredRevision && p.writes.credit >= minPlanCredit && p.catalog.known()
 }
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -26,6 +26,7 @@
 
 	revisions     map[string]uint64 // mod revision of every live key under schema.ActivePrefix
 	tombstones    map[string]uint64 // keys that this controller deleted ahead of the watch, with the revision of the deletion
+	unreadable    map[string]bool   // keys whose latest shown document could not be decoded
 	watchRevision uint64
 	// completeRevision is the latest revision of a loaded page. Pages are read at different times, so an
 	// entry that moves from one document to another during the load may be on no page: a loaded replica
@@ -44,6 +45,7 @@
 	jobs              map[string]*job
 	unlocatedJobs     map[string]bool // jobs whose shard has not been shown since a split
 	unlocatedLog      period
+	unreadableLog     period
 	jobShards         []*jobShard
 	jobsByAge         []*job // accepted jobs, the oldest first; nil when they must be sorted again
 	progressSegments  map[string]*progressSegment
@@ -91,7 +93,7 @@
 func newReplica(env *environment, layout schema.Layout, defaultPartition func(shard int) int) *replica {
 	r := &replica{
 		env:       env,
-		revisions: map[string]uint64{}, tombstones: map[string]uint64{},
+		revisions: map[string]uint64{}, tombstones: map[string]uint64{}, unreadable: map[string]bool{},
 		registeredSince: map[string]units.Micros{}, registeredFormats: map[string]int{},
 		partitions: map[int]*partitionDoc{},
 		machines:   map[string]*machine{}, everSeen: map[string]bool{},
@@ -100,8 +102,12 @@
 		outcomes: newOutcomeCache(maxOutcomes), dependencies: dag.New(),
 		maxProgressGaps: maxProgressGaps, defaultPartition: defaultPartition,
 	}
-	r.machineDirectory = newShardDirectory(func(shard int) int { return r.machineShards[shard].shardCount })
-	r.jobDirectory = newShardDirectory(func(shard int) int { return r.jobShards[shard].shardCount })
+	r.machineDirectory = newShardDirectory(
+		func(shard int) int { return r.machineShards[shard].shardCount },
+		func(shard int) bool { return r.machineShards[shard].unreadable })
+	r.jobDirectory = newShardDirectory(
+		func(shard int) int { return r.jobShards[shard].shardCount },
+		func(shard int) bool { return r.jobShards[shard].unreadable })
 	r.useLayout(layout)
 	return r
 }
@@ -122,9 +128,28 @@
 		r.revisions[key] = revision
 	}
 	r.env.planNeeded = true
-	r.applyDocument(key, value, revision, deleted)
+	if r.applyDocument(key, value, revision, deleted) {
+		delete(r.unreadable, key)
+	} else {
+		r.unreadable[key] = true
+	}
 }
 
+// allReadable reports whether the replica could decode the latest shown state of every document. While it
+// could not, the replica keeps what the document showed before, and a newly started controller knows nothing
+// of its contents: nothing may then be concluded from what the replica lacks.
+func (r *replica) allReadable() bool { return len(r.unreadable) == 0 }
+
+// logUnreadable logs the documents that could not be decoded.
+func (r *replica) logUnreadable() {
+	if !r.allReadable() && r.unreadableLog.due(r.env.now, unreadableLogPeriod) {
+		r.env.log.Error("unreadable documents, nothing is placed or started", "keys", slices.Sorted(maps.Keys(r.unreadable)), "revision", r.watchRevision)
+	}
+}
+
+// unreadableLogPeriod is the minimum time between two log lines about unreadable documents.
+const unreadableLogPeriod = 10 * units.Second
+
 // isNewer reports whether a change is newer than the known state of its key.
 func (r *replica) isNewer(key string, revision uint64, deleted bool) bool {
 	known, tombstone := r.revisions[key], r.tombstones[key]
@@ -134,32 +159,28 @@
 	return deleted || revision > known
 }
 
-// applyDocument passes the new state of a key to the handler of its kind of document.
-func (r *replica) applyDocument(key string, value json.RawMessage, revision uint64, deleted bool) {
+// applyDocument passes the new state of a key to the handler of its kind of document. It reports whether the
+// document is readable, if something is concluded from what documents of its kind do not contain.
+func (r *replica) applyDocument(key string, value json.RawMessage, revision uint64, deleted bool) bool {
 	switch {
 	case strings.HasPrefix(key, schema.RegistrationPrefix):
 		r.applyRegistration(key, value, deleted)
 	case strings.HasPrefix(key, schema.PartitionPrefix):
-		r.applyPartition(key, value, revision, deleted)
+		return r.applyPartition(key, value, revision, deleted)
 	case strings.HasPrefix(key, schema.MachineShardPrefix):
-		if n, ok := numberAfterPrefix(key, schema.MachineShardPrefix, schema.MaxShardCount); ok && !deleted {
-			r.growMachineShards(n + 1)
-			r.applyMachineShard(r.machineShards[n], value, revision)
-		}
+		return r.applyMachineShardKey(key, value, revision, deleted)
 	case strings.HasPrefix(key, schema.JobShardPrefix):
-		if n, ok := numberAfterPrefix(key, schema.JobShardPrefix, schema.MaxShardCount); ok {
-			r.growJobShards(n + 1)
-			r.applyJobShard(r.jobShards[n], value, revision)
-		}
+		return r.applyJobShardKey(key, value, revision)
 	case strings.HasPrefix(key, schema.ProgressPrefix):
-		r.applyProgressSegment(key, value)
+		return r.applyProgressSegment(key, value)
 	case key == schema.LayoutKey:
-		r.applyLayout(key, value, deleted)
+		return r.applyLayout(key, value, deleted)
 	case key == schema.FirstMachineKey:
 		r.applyFirstRented(key, value, deleted)
 	case strings.HasPrefix(key, schema.CancellationPrefix):
 		r.applyCancellation(strings.TrimPrefix(key, schema.CancellationPrefix), deleted)
 	}
+	return true
 }
 
 func (r *replica) applyOutcome(key, id string, value json.RawMessage, deleted bool) {
@@ -169,6 +190,8 @@
 	}
 }
 
+// applyFirstRented applies the document of the first rented machine. While it is not readable, no machine
+// counts as rented, so none is returned.
 func (r *replica) applyFirstRented(key string, value json.RawMessage, deleted bool) {
 	var doc schema.FirstMachine
 	if !deleted && r.env.decode(key, value, &doc) {
--- a/internal/controller/replica_jobs.go
+++ b/internal/controller/replica_jobs.go
@@ -48,16 +48,17 @@
 	r.observer.jobCancelled(id)
 }
 
-// applyJobShard applies a job shard's new contents. A deleted shard still owns its names, but lists no
-// jobs.
-func (r *replica) applyJobShard(s *jobShard, value json.RawMessage, revision uint64) {
+// applyJobShard applies a job shard's new contents, and reports whether they are readable. A deleted shard
+// still owns its names, but lists no jobs.
+func (r *replica) applyJobShard(s *jobShard, value json.RawMessage, revision uint64) bool {
 	doc := schema.JobShard{ShardCount: s.shardCount}
 	if len(value) > 0 {
 		doc.ShardCount = 0
 		if !r.env.decode(s.key, value, &doc) {
-			return
+			return false
 		}
 	}
+	s.unreadable = false
 	r.jobsByAge = nil
 	previousIDs := r.detachJobs(s)
 	s.jobIDs, s.size, s.shardCount, s.revision = make([]string, 0, len(doc.Jobs)), len(value), doc.ShardCount, revision
@@ -72,6 +73,7 @@
 	if len(r.unlocatedJobs) > 0 {
 		r.locateJobs(slices.Sorted(maps.Keys(r.unlocatedJobs)))
 	}
+	return true
 }
 
 // detachJobs removes all jobs from a shard's list, and returns their ids.
@@ -152,6 +154,13 @@
 	return shown && r.complete() && enteredRevision <= r.watchRevision
 }
 
+// provesNeverAccepted reports whether a job that has no outcome and is not among the accepted jobs was never
+// accepted. A complete replica has been shown every document; one that is not readable may list the job.
+func (r *replica) provesNeverAccepted(id string) bool {
+	_, shown := r.jobDirectory.owner(id)
+	return shown
+}
+
 // knownCancelled reports whether a job is known to be cancelled, even if it is not shown as accepted.
 func (r *replica) knownCancelled(id string) bool {
 	if j := r.jobs[id]; j != nil && j.cancelled() {
@@ -161,34 +170,42 @@
 	return known && outcome.State == StageCancelled
 }
 
-// applyProgressSegment applies a progress segment's new contents; value is empty if it was deleted.
-func (r *replica) applyProgressSegment(key string, value json.RawMessage) {
+// applyProgressSegment applies a progress segment's new contents; value is empty if it was deleted. It reports
+// whether the contents are readable.
+func (r *replica) applyProgressSegment(key string, value json.RawMessage) bool {
 	var doc schema.ProgressSegment
 	if len(value) > 0 && !r.env.decode(key, value, &doc) {
-		return
+		return false
 	}
 	previous := r.progressSegments[key]
 	segment := &progressSegment{key: key, size: len(value), jobs: doc.Jobs}
 	if _, err := fmt.Sscanf(strings.TrimPrefix(key, schema.ProgressPrefix), "%d/", &segment.partition); err != nil {
 		r.env.log.Error("unreadable key", "key", key)
-		return
+		return len(value) == 0
 	}
 	delete(r.progressSegments, key)
 	if len(doc.Jobs) > 0 {
 		r.progressSegments[key] = segment
 	}
+	readable := true
 	for id, progress := range doc.Jobs {
 		j := r.job(id)
 		j.progressSegment = segment
 		if err := j.addStoredProgress(progress); err != nil {
 			r.env.log.Error("unreadable progress", "job", id, "err", err)
+			readable = false
 		}
 	}
-	if previous == nil {
-		return
+	if previous != nil {
+		r.detachProgress(previous)
 	}
-	for id := range previous.jobs {
-		if j := r.jobs[id]; j != nil && j.progressSegment == previous {
+	return readable
+}
+
+// detachProgress detaches the jobs whose progress is not in any segment since a segment was replaced.
+func (r *replica) detachProgress(replaced *progressSegment) {
+	for id := range replaced.jobs {
+		if j := r.jobs[id]; j != nil && j.progressSegment == replaced {
 			j.progressSegment = nil
 			r.dropIfUnused(j)
 		}
--- a/internal/controller/replica_machines.go
+++ b/internal/controller/replica_machines.go
@@ -9,12 +9,13 @@
 	"frostdock.example/frostdock/internal/units"
 )
 
-// applyMachineShard applies a machine shard's new contents.
-func (r *replica) applyMachineShard(s *machineShard, value json.RawMessage, revision uint64) {
+// applyMachineShard applies a machine shard's new contents, and reports whether they are readable.
+func (r *replica) applyMachineShard(s *machineShard, value json.RawMessage, revision uint64) bool {
 	var doc schema.MachineShard
 	if !r.env.decode(s.key, value, &doc) {
-		return
+		return false
 	}
+	s.unreadable = false
 	previousPartition, previousMachines := s.partition, s.machines
 	s.changedAt = r.env.now
 	if s.partition != doc.Partition {
@@ -36,6 +37,7 @@
 	if len(r.unlocatedMachines) > 0 {
 		r.locateUnlocatedMachines()
 	}
+	return true
 }
 
 // placeInShard attaches a machine to the machine shard that lists it, and returns the partition that the
--- a/internal/controller/replica_shards.go
+++ b/internal/controller/replica_shards.go
@@ -20,6 +20,7 @@
 	machines   []*machine   // in the order of their names
 	movedAt    units.Micros // when it was last seen to change partitions
 	changedAt  units.Micros // when any change of it was last seen
+	unreadable bool         // its latest shown document could not be decoded
 }
 
 // jobShard is a stored document of accepted jobs.
@@ -30,13 +31,20 @@
 	revision   uint64
 	size       int // of the stored value, in bytes
 	jobIDs     []string
+	unreadable bool // its latest shown document could not be decoded
 }
 
 // applyLayout applies the store's layout, once, and its format, which may be raised later.
-func (r *replica) applyLayout(key string, value json.RawMessage, deleted bool) {
+func (r *replica) applyLayout(key string, value json.RawMessage, deleted bool) bool {
+	if deleted {
+		return true
+	}
 	var doc schema.Layout
-	if deleted || !r.env.decode(key, value, &doc) || doc.MachineShards <= 0 || doc.JobShards <= 0 {
-		return
+	if !r.env.decode(key, value, &doc) {
+		return false
+	}
+	if doc.MachineShards <= 0 || doc.JobShards <= 0 { // of a version that this one must not work beside
+		return !r.layoutKnown
 	}
 	if !r.layoutKnown {
 		r.useLayout(doc)
@@ -47,6 +55,7 @@
 		r.env.log.Info("store format version", "format", doc.Format)
 		r.maxProgressGaps = r.observer.formatRaised()
 	}
+	return true
 }
 
 // useLayout sets the numbers of machine shards and job shards. Known shards within these numbers stay.
@@ -63,6 +72,30 @@
 	}
 }
 
+// applyMachineShardKey applies a new document of machines. A deleted one keeps its contents.
+func (r *replica) applyMachineShardKey(key string, value json.RawMessage, revision uint64, deleted bool) bool {
+	n, ok := numberAfterPrefix(key, schema.MachineShardPrefix, schema.MaxShardCount)
+	if !ok || deleted {
+		return deleted
+	}
+	r.growMachineShards(n + 1)
+	shard := r.machineShards[n]
+	shard.unreadable = !r.applyMachineShard(shard, value, revision)
+	return !shard.unreadable
+}
+
+// applyJobShardKey applies a new document of jobs, or its deletion.
+func (r *replica) applyJobShardKey(key string, value json.RawMessage, revision uint64) bool {
+	n, ok := numberAfterPrefix(key, schema.JobShardPrefix, schema.MaxShardCount)
+	if !ok {
+		return len(value) == 0
+	}
+	r.growJobShards(n + 1)
+	shard := r.jobShards[n]
+	shard.unreadable = !r.applyJobShard(shard, value, revision)
+	return !shard.unreadable
+}
+
 // growMachineShards extends the machine shards to at least count; those without a document are empty.
 func (r *replica) growMachineShards(count int) {
 	for n := len(r.machineShards); n < count; n++ {
--- a/internal/controller/resharding.go
+++ b/internal/controller/resharding.go
@@ -245,7 +245,7 @@
 
 // maySplit reports whether this controller may split a job shard now.
 func (d *jobShardSplitter) maySplit() bool {
-	return d.replica.dependenciesEnabled() && d.authority.leads(0) && !d.store.failing && !d.inFlight &&
+	return d.replica.dependenciesEnabled() && d.authority.leads(0) && d.replica.allReadable() && !d.store.failing && !d.inFlight &&
 		d.writes.credit >= minPlanCredit && d.now >= d.notBefore
 }
 
--- a/internal/controller/shard_directory.go
+++ b/internal/controller/shard_directory.go
@@ -19,13 +19,15 @@
 //   - Once a part of a shard was shown, the contents of the shard from before the split are superseded.
 //   - A shard that owns a name, is not superseded and does not list the name proves that the name was
 //     removed.
+//   - A shard whose latest document is not readable proves nothing, neither by its count nor by its names.
 //   - If a shard no longer owns a name, the absence of the name from that shard proves nothing. What is
 //     known of the name is kept until the shard that owns it is shown. The wait is bounded: the owning shard
 //     was written in the transaction of the split, or of a later split, so it has been shown once the watch
 //     has reached the revision of that transaction.
 type shardDirectory struct {
-	initialCount int           // number of shards in the layout
-	splitCountOf func(int) int // returns the last shown shard count of a shard; 0: it was never split, or was not shown
+	initialCount int            // number of shards in the layout
+	splitCountOf func(int) int  // returns the last shown shard count of a shard; 0: it was never split, or was not shown
+	unreadable   func(int) bool // reports whether the latest shown document of a shard could not be decoded
 
 	splitCounts      []int               // all shard counts that shards have stated, the largest first
 	splitShards      map[int]bool        // shards that have stated a shard count
@@ -36,10 +38,10 @@
 // shardRange is the set of names that a shard owns under a shard count.
 type shardRange struct{ shard, count int }
 
-func newShardDirectory(splitCountOf func(int) int) shardDirectory {
+func newShardDirectory(splitCountOf func(int) int, unreadable func(int) bool) shardDirectory {
 	return shardDirectory{
-		splitCountOf: splitCountOf,
-		splitShards:  map[int]bool{}, supersededRanges: map[shardRange]bool{}, removedAt: map[string]uint64{},
+		splitCountOf: splitCountOf, unreadable: unreadable,
+		splitShards: map[int]bool{}, supersededRanges: map[shardRange]bool{}, removedAt: map[string]uint64{},
 	}
 }
 
@@ -78,11 +80,11 @@
 	return append(smaller, d.initialCount)
 }
 
-// owner returns the shard that owns a name. shown is false if that shard was not shown yet; shard then
-// is the one that owned the name before.
+// owner returns the shard that owns a name. shown is false if that shard was not shown yet, or its document is
+// not readable; shard then is the one that owned the name before.
 func (d *shardDirectory) owner(name string) (shard int, shown bool) {
 	shard, shown = schema.OwnerShard(name, d.initialCount, d.splitCounts, d.splitCountOf)
-	return shard, shown && !d.supersededRanges[shardRange{shard, d.countOf(shard)}]
+	return shard, shown && !d.unreadable(shard) && !d.supersededRanges[shardRange{shard, d.countOf(shard)}]
 }
 
 // countOf returns the shard count of a shard, which is the layout's if it was never split.
--- a/internal/controller/summary.go
+++ b/internal/controller/summary.go
@@ -13,7 +13,7 @@
 		"jobs", jobs.accepted, "services", jobs.services, "tasks_waiting", jobs.tasksWaiting, "tasks_bound", jobs.tasksBound,
 		"machines", len(c.replica.machines), "machines_led", c.replica.countCommanded(),
 		"jobs_unlocated", len(c.replica.unlocatedJobs), "machines_unlocated", len(c.replica.unlocatedMachines),
-		"entries_undecided", c.facts.countUndecided(),
+		"entries_undecided", c.facts.countUndecided(), "documents_unreadable", len(c.replica.unreadable),
 		"calls_waited", calls.waited, "calls_longest_wait_s", calls.longest.Seconds(), "calls_not_sent", calls.notSent,
 		"requests_open", c.users.openCount(), "changes", c.budget.takeChangesByKind())...)
 }
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -30,6 +30,7 @@
 	RuleOrphaned    Rule = "orphaned"     // a job ends when one of its dependencies is cancelled
 
 	RuleInvariant Rule = "invariant" // no controller logs a violated invariant
+	RuleReadable  Rule = "readable"  // a stored document can be read, and one that cannot is not overwritten
 )
 
 // The stages of jobs, as reported to users. The checker keeps its own copy of these protocol values.
--- a/internal/simulator/parser_steps.go
+++ b/internal/simulator/parser_steps.go
@@ -52,6 +52,7 @@
 	"slow_state": faultStep(func(args *arguments, duration units.Micros) step {
 		return slowStore{args.duration("by", 0.5), duration}
 	}),
+	"unreadable":    faultStep(func(args *arguments, duration units.Micros) step { return corruptShard{args.word(0), duration} }),
 	"blind":         faultStep(func(args *arguments, duration units.Micros) step { return loseWatches{args.word(0), duration} }),
 	"mixed_changes": faultStep(func(_ *arguments, duration units.Micros) step { return coalesceWatchEvents{duration} }),
 	"cloud_outage":  faultStep(func(_ *arguments, duration units.Micros) step { return cloudOutage{duration} }),
--- a/internal/simulator/store_txn.go
+++ b/internal/simulator/store_txn.go
@@ -28,6 +28,7 @@
 		return kv.Response{Status: kv.StatusMalformed}
 	}
 	if len(txn.Operations) > 0 {
+		s.checkStored(txn.Operations)
 		s.commit(txn.Operations)
 	}
 	return kv.Response{Status: kv.StatusOK, Revision: s.revision}
