--- a/internal/controller/accepts.go
+++ b/internal/controller/accepts.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		owner, shown := q.replica.jobDirectory.owner(submission.job.ID)
-		shard := q.replica.jobShards[owner]
+		shard := q.replica.jobShards.find(owner)
 		if shard.unreadable {
 			q.users.askToRetry(submission.requestID)
 			continue
@@ -129,7 +129,7 @@
 func (q *acceptQueue) shardsByUrgency(pending map[*jobShard][]pendingSubmission) []*jobShard {
 	var shards []*jobShard
 	urgency := map[*jobShard]units.Micros{}
-	all := q.replica.jobShards
+	all := q.replica.jobShards.all()
 	first := q.memberRank() * len(all) / q.cfg.Settings.Size
 	for i := range all {
 		shard := all[(first+i)%len(all)]
--- a/internal/controller/accepts_test.go
+++ b/internal/controller/accepts_test.go
@@ -146,7 +146,7 @@
 func TestShardsByUrgency(t *testing.T) {
 	c, _ := newTestAccepts()
 	c.now = 10 * units.Second
-	shards := c.replica.jobShards
+	shards := c.replica.jobShards.all()
 	pending := map[*jobShard][]pendingSubmission{
 		shards[0]: {{requestedAt: 10 * units.Second}},
 		shards[1]: {{requestedAt: 8 * units.Second}},
--- a/internal/controller/audit.go
+++ b/internal/controller/audit.go
@@ -223,7 +223,7 @@
 // auditForgotten refuses to remove jobs whose outcome is neither stored nor written in the same
 // transaction.
 func (p *plan) auditForgotten() {
-	for _, shard := range p.replica.jobShards {
+	for _, shard := range p.replica.jobShards.all() {
 		for _, id := range slices.Sorted(maps.Keys(p.joint.removedJobs[shard])) {
 			if !p.outcomeStoredOrStaged(id) {
 				p.audit.reportViolation(invariantForget, "job", id)
--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -217,7 +217,7 @@
 // operation, with consecutive tasks seldom on the same machine.
 func fillStore(o *fakeStore, c *Controller, machines, tasks, jobs, tasksOfJob int) {
 	rng := rand.New(rand.NewPCG(5, 6))
-	machineShards := make([]schema.MachineShard, len(c.replica.machineShards))
+	machineShards := make([]schema.MachineShard, len(c.replica.machineShards.all()))
 	for i := range machines {
 		name := fmt.Sprintf("n-%06d", i)
 		m := schema.Machine{Name: name, Addr: name, MachineKind: schema.MachineKind{Type: "big", Zone: "a", Spot: i%4 == 0}}
@@ -231,7 +231,7 @@
 	for n, shard := range machineShards {
 		o.put(schema.MachineShardKey(n), shard)
 	}
-	jobShards := make([]schema.JobShard, len(c.replica.jobShards))
+	jobShards := make([]schema.JobShard, len(c.replica.jobShards.all()))
 	for j := range jobs {
 		id := fmt.Sprintf("j-%06d", j*577)
 		n := schema.ShardIndex(id, len(jobShards))
--- a/internal/controller/plan_commit.go
+++ b/internal/controller/plan_commit.go
@@ -109,7 +109,7 @@
 	t.joint = true
 	t.txn.Conditions = append(t.txn.Conditions, p.joint.conditions...)
 	t.txn.Operations = p.joint.operations
-	for _, shard := range p.replica.jobShards {
+	for _, shard := range p.replica.jobShards.all() {
 		if removed := p.joint.removedJobs[shard]; removed != nil {
 			document := p.replica.jobShardDocument(shard, removed)
 			document.WriteTag = p.writeTag
--- a/internal/controller/plan_registrations.go
+++ b/internal/controller/plan_registrations.go
@@ -39,7 +39,7 @@
 	for _, name := range p.agents.confirmedRegistrations() {
 		owner, shown := p.replica.machineDirectory.owner(name)
 		if shown {
-			shard := p.replica.machineShards[owner]
+			shard := p.replica.machineShards.find(owner)
 			namesByShard[shard] = append(namesByShard[shard], name)
 		}
 	}
--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -187,7 +187,7 @@
 
 func TestOccupancy(t *testing.T) {
 	c, p := newTestPlan(t)
-	m := &machine{name: "n-000001", shard: c.replica.machineShards[0]}
+	m := &machine{name: "n-000001", shard: c.replica.machineShards.find(0)}
 	stored := acceptJob(c, schema.Job{ID: "j-000001", Team: "red", Tasks: 4, CPUs: 2, MemGB: 1})
 	stored.done = stored.done.With(0)
 	m.doc.Tasks = schema.Tasks{
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -37,7 +37,7 @@
 	registeredSince   map[string]units.Micros // by key: when the registration was first seen here
 	registeredFormats map[string]int          // by key: the latest format that the process knows
 	partitions        map[int]*partitionDoc
-	machineShards     []*machineShard
+	machineShards     shardTable[machineShard]
 	machines          map[string]*machine
 	everSeen          map[string]bool // names of all machines that this replica was ever shown
 	machinesByName    []*machine      // sorted by name; nil when they must be sorted again
@@ -46,7 +46,7 @@
 	unlocatedJobs     map[string]bool // jobs whose shard has not been shown since a split
 	unlocatedLog      period
 	unreadableLog     period
-	jobShards         []*jobShard
+	jobShards         shardTable[jobShard]
 	jobsByAge         []*job // accepted jobs, the oldest first; nil when they must be sorted again
 	progressSegments  map[string]*progressSegment
 	outcomes          *outcomeCache
@@ -54,8 +54,7 @@
 	maxProgressGaps   int // maximum number of gaps in the stored progress of a job
 	firstRented       *schema.FirstMachine
 
-	defaultPartition func(shard int) int // returns the partition of a machine shard that has no document yet
-	layoutKnown      bool                // the layout was read from the store
+	layoutKnown      bool // the layout was read from the store
 	layout           schema.Layout
 	machineDirectory shardDirectory
 	jobDirectory     shardDirectory
@@ -90,6 +89,8 @@
 // maxOutcomes is how many outcomes a replica caches; the store holds all of them.
 const maxOutcomes = 40000
 
+// newReplica returns an empty replica. defaultPartition returns the partition of a machine shard that has no
+// document yet.
 func newReplica(env *environment, layout schema.Layout, defaultPartition func(shard int) int) *replica {
 	r := &replica{
 		env:       env,
@@ -100,14 +101,14 @@
 		unlocatedMachines: map[string]bool{}, unlocatedJobs: map[string]bool{},
 		jobs: map[string]*job{}, progressSegments: map[string]*progressSegment{},
 		outcomes: newOutcomeCache(maxOutcomes), dependencies: dag.New(),
-		maxProgressGaps: maxProgressGaps, defaultPartition: defaultPartition,
+		maxProgressGaps: maxProgressGaps,
 	}
-	r.machineDirectory = newShardDirectory(
-		func(shard int) int { return r.machineShards[shard].shardCount },
-		func(shard int) bool { return r.machineShards[shard].unreadable })
-	r.jobDirectory = newShardDirectory(
-		func(shard int) int { return r.jobShards[shard].shardCount },
-		func(shard int) bool { return r.jobShards[shard].unreadable })
+	r.machineShards.newShard = func(n int) *machineShard {
+		return &machineShard{number: n, key: schema.MachineShardKey(n), partition: defaultPartition(n)}
+	}
+	r.jobShards.newShard = func(n int) *jobShard { return &jobShard{number: n, key: schema.JobShardKey(n)} }
+	r.machineDirectory = newShardDirectory(r.machineShardState)
+	r.jobDirectory = newShardDirectory(r.jobShardState)
 	r.useLayout(layout)
 	return r
 }
--- a/internal/controller/replica_jobs.go
+++ b/internal/controller/replica_jobs.go
@@ -62,7 +62,6 @@
 	r.jobsByAge = nil
 	previousIDs := r.detachJobs(s)
 	s.jobIDs, s.size, s.shardCount, s.revision = make([]string, 0, len(doc.Jobs)), len(value), doc.ShardCount, revision
-	r.growJobShards(doc.ShardCount)
 	r.jobDirectory.noteCount(s.number, doc.ShardCount)
 	for i := range doc.Jobs {
 		if spec := &doc.Jobs[i]; !r.jobDirectory.isStale(spec.ID, s.number, revision) {
@@ -117,7 +116,7 @@
 			continue
 		}
 		if owner, shown := r.jobDirectory.owner(id); shown {
-			r.jobDirectory.noteRemoved(id, r.jobShards[owner].revision)
+			r.jobDirectory.noteRemoved(id, r.jobShards.find(owner).revision)
 			r.removeJob(j)
 		} else {
 			r.unlocatedJobs[id] = true
--- a/internal/controller/replica_machines.go
+++ b/internal/controller/replica_machines.go
@@ -22,7 +22,6 @@
 		s.movedAt = r.env.now
 	}
 	s.revision, s.size, s.partition, s.handovers, s.shardCount = revision, len(value), doc.Partition, doc.Handovers, doc.ShardCount
-	r.growMachineShards(doc.ShardCount)
 	r.machineDirectory.noteCount(s.number, doc.ShardCount)
 	s.machines = make([]*machine, 0, len(doc.Machines))
 	for i := range doc.Machines {
@@ -68,7 +67,7 @@
 			continue
 		}
 		if owner, shown := r.machineDirectory.owner(m.name); shown {
-			r.machineDirectory.noteRemoved(m.name, r.machineShards[owner].revision)
+			r.machineDirectory.noteRemoved(m.name, r.machineShards.find(owner).revision)
 			r.removeMachine(m)
 		} else {
 			r.awaitOwner(m)
--- a/internal/controller/replica_shards.go
+++ b/internal/controller/replica_shards.go
@@ -61,10 +61,9 @@
 // useLayout sets the numbers of machine shards and job shards. Known shards within these numbers stay.
 func (r *replica) useLayout(layout schema.Layout) {
 	r.layout = layout
-	r.growMachineShards(layout.MachineShards)
-	r.growJobShards(layout.JobShards)
 	r.machineDirectory.initialCount, r.jobDirectory.initialCount = layout.MachineShards, layout.JobShards
-	r.machineShards, r.jobShards = r.machineShards[:layout.MachineShards], r.jobShards[:layout.JobShards]
+	r.machineShards.useLayout(layout.MachineShards)
+	r.jobShards.useLayout(layout.JobShards)
 	for key := range r.revisions { // documents that were read under another layout must be read again
 		if strings.HasPrefix(key, schema.MachineShardPrefix) || strings.HasPrefix(key, schema.JobShardPrefix) {
 			delete(r.revisions, key)
@@ -74,40 +73,40 @@
 
 // applyMachineShardKey applies a new document of machines. A deleted one keeps its contents.
 func (r *replica) applyMachineShardKey(key string, value json.RawMessage, revision uint64, deleted bool) bool {
-	n, ok := numberAfterPrefix(key, schema.MachineShardPrefix, schema.MaxShardCount)
+	n, ok := numberAfterPrefix(key, schema.MachineShardPrefix, schema.MaxReadableShardCount)
 	if !ok || deleted {
 		return deleted
 	}
-	r.growMachineShards(n + 1)
-	shard := r.machineShards[n]
+	shard := r.machineShards.findOrAdd(n)
 	shard.unreadable = !r.applyMachineShard(shard, value, revision)
 	return !shard.unreadable
 }
 
 // applyJobShardKey applies a new document of jobs, or its deletion.
 func (r *replica) applyJobShardKey(key string, value json.RawMessage, revision uint64) bool {
-	n, ok := numberAfterPrefix(key, schema.JobShardPrefix, schema.MaxShardCount)
+	n, ok := numberAfterPrefix(key, schema.JobShardPrefix, schema.MaxReadableShardCount)
 	if !ok {
 		return len(value) == 0
 	}
-	r.growJobShards(n + 1)
-	shard := r.jobShards[n]
+	shard := r.jobShards.findOrAdd(n)
 	shard.unreadable = !r.applyJobShard(shard, value, revision)
 	return !shard.unreadable
 }
 
-// growMachineShards extends the machine shards to at least count; those without a document are empty.
-func (r *replica) growMachineShards(count int) {
-	for n := len(r.machineShards); n < count; n++ {
-		r.machineShards = append(r.machineShards, &machineShard{number: n, key: schema.MachineShardKey(n), partition: r.defaultPartition(n)})
+// machineShardState returns what the last shown document of a machine shard says of the shard.
+func (r *replica) machineShardState(n int) shardState {
+	if shard := r.machineShards.find(n); shard != nil {
+		return shardState{shard.shardCount, shard.unreadable}
 	}
+	return shardState{}
 }
 
-// growJobShards extends the job shards to at least count; those without a document are empty.
-func (r *replica) growJobShards(count int) {
-	for n := len(r.jobShards); n < count; n++ {
-		r.jobShards = append(r.jobShards, &jobShard{number: n, key: schema.JobShardKey(n)})
+// jobShardState returns what the last shown document of a job shard says of the shard.
+func (r *replica) jobShardState(n int) shardState {
+	if shard := r.jobShards.find(n); shard != nil {
+		return shardState{shard.shardCount, shard.unreadable}
 	}
+	return shardState{}
 }
 
 // machineShardOf returns the machine shard that owns a machine's name. If that shard has not been shown
@@ -115,13 +114,13 @@
 // leader, but must not write it.
 func (r *replica) machineShardOf(machine string) *machineShard {
 	shard, _ := r.machineDirectory.owner(machine)
-	return r.machineShards[shard]
+	return r.machineShards.find(shard)
 }
 
 // jobShardOf returns the job shard that owns a job's id, with the same restriction as machineShardOf.
 func (r *replica) jobShardOf(job string) *jobShard {
 	shard, _ := r.jobDirectory.owner(job)
-	return r.jobShards[shard]
+	return r.jobShards.find(shard)
 }
 
 // jobShardDocument returns a job shard's current document, without the given jobs.
--- a/internal/controller/replica_test.go
+++ b/internal/controller/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"frostdock.example/frostdock/internal/config"
@@ -78,3 +79,39 @@
 	}
 	checkAccepted(t, c, jobs)
 }
+
+// TestLargeShardCounts shows a replica shards whose counts are above the largest that is written, as the versions
+// with the fault of TestSplitsEnd have stored them: the machines and jobs in them were unknown to every
+// controller. They are found and stay writable, whatever the counts, and only shards that exist take memory.
+func TestLargeShardCounts(t *testing.T) {
+	const count, manyShards = 98304, schema.MaxReadableShardCount
+	c, _ := newTestAccepts()
+	shardOfJob, shardOfMachine := 5+count/2, 3+count/2
+	job := schema.Job{ID: fmt.Sprintf("j-%d", shardOfJob+3*count), Tasks: 1}
+	task := schema.Task{Job: job.ID, Attempt: 7}
+	machine := schema.Machine{Name: fmt.Sprintf("n-%d", shardOfMachine+count), Addr: "x", Tasks: schema.Tasks{task}}
+	known := len(c.replica.jobShards.all()) + len(c.replica.machineShards.all())
+	c.replica.apply(schema.JobShardKey(5), encode(schema.JobShard{ShardCount: count}), 20, false)
+	c.replica.apply(schema.JobShardKey(shardOfJob), encode(schema.JobShard{ShardCount: count, Jobs: []schema.Job{job}}), 20, false)
+	c.replica.apply(schema.MachineShardKey(3), encode(schema.MachineShard{ShardCount: count}), 21, false)
+	c.replica.apply(schema.MachineShardKey(shardOfMachine), encode(schema.MachineShard{ShardCount: count, Machines: []schema.Machine{machine}}), 21, false)
+	c.replica.apply(schema.MachineShardKey(manyShards-1), encode(schema.MachineShard{ShardCount: manyShards}), 22, false)
+	checkAccepted(t, c, []schema.Job{job})
+	if shard, shown := c.replica.jobDirectory.owner(job.ID); shard != shardOfJob || !shown {
+		t.Errorf("the job is in shard %d, shown: %v", shard, shown)
+	}
+	if m := c.replica.machines[machine.Name]; m == nil || m.shard.number != shardOfMachine || len(c.replica.jobs[job.ID].bindings) != 1 {
+		t.Errorf("machine: %+v", m)
+	}
+	if added := len(c.replica.jobShards.all()) + len(c.replica.machineShards.all()) - known; added != 3 {
+		t.Errorf("%d shards became known, not the 3 with a document beyond the layout", added)
+	}
+	submit(c, 1, fmt.Sprintf("j-%d", shardOfJob+5*count))
+	writer, ok := c.accepts.commits.(*fakeShardWriter)
+	if !ok || writer.commits != 1 || writer.txn.Operations[0].Set != schema.JobShardKey(shardOfJob) {
+		t.Error("the shard takes no job")
+	}
+	if documents := c.splits.splitToFit(2, stagedJobShard{c.jobShardSplits, c.replica.jobShards.find(shardOfJob), "tag"}); documents != nil {
+		t.Errorf("split into %d", len(documents))
+	}
+}
--- a/internal/controller/replication_test.go
+++ b/internal/controller/replication_test.go
@@ -40,7 +40,7 @@
 				store.put(schema.MachineShardKey(wide.MachineShards-1), schema.MachineShard{Machines: []schema.Machine{{Name: "n-000047", Addr: "x"}}})
 			}
 			c := store.startController(t, cfg)
-			if got := (schema.Layout{MachineShards: len(c.replica.machineShards), JobShards: len(c.replica.jobShards)}); got != tc.want {
+			if got := (schema.Layout{MachineShards: len(c.replica.machineShards.all()), JobShards: len(c.replica.jobShards.all())}); got != tc.want {
 				t.Errorf("%+v, want %+v", got, tc.want)
 			}
 			if tc.shards && c.replica.machines["n-000047"] == nil {
--- a/internal/controller/resharding.go
+++ b/internal/controller/resharding.go
@@ -252,7 +252,7 @@
 // shardsToSplit returns the job shards that have become too long, the longest first.
 func (d *jobShardSplitter) shardsToSplit() []*jobShard {
 	var oversized []*jobShard
-	for _, shard := range d.replica.jobShards {
+	for _, shard := range d.replica.jobShards.all() {
 		if d.partCount(shard.size) > 1 && !d.commits.isInFlight(shard.key) {
 			oversized = append(oversized, shard)
 		}
--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -17,7 +17,7 @@
 	for _, parentFirst := range []bool{true, false} {
 		c, jobs := newSplitTestController(t)
 		known := maps.Clone(c.replica.machines)
-		shards := len(c.replica.machineShards)
+		shards := len(c.replica.machineShards.all())
 		docs := splitDocuments(c)
 		if !parentFirst {
 			slices.Reverse(docs)
@@ -52,7 +52,7 @@
 // machinesInShards counts the machines of all machine shards.
 func machinesInShards(c *Controller) int {
 	total := 0
-	for _, shard := range c.replica.machineShards {
+	for _, shard := range c.replica.machineShards.all() {
 		total += len(shard.machines)
 	}
 	return total
@@ -68,9 +68,9 @@
 	machines, jobs := schema.MachineShard{}, schema.JobShard{}
 	for i := range 6 {
 		machines.Machines = append(machines.Machines, schema.Machine{
-			Name: fmt.Sprintf("n-%06d", 3+i*len(c.replica.machineShards)), Addr: "x", Tasks: schema.Tasks{{Job: "j-000001", Index: i, Attempt: 7}},
+			Name: fmt.Sprintf("n-%06d", 3+i*len(c.replica.machineShards.all())), Addr: "x", Tasks: schema.Tasks{{Job: "j-000001", Index: i, Attempt: 7}},
 		})
-		jobs.Jobs = append(jobs.Jobs, schema.Job{ID: fmt.Sprintf("j-%06d", 5+i*len(c.replica.jobShards)), Tasks: 1})
+		jobs.Jobs = append(jobs.Jobs, schema.Job{ID: fmt.Sprintf("j-%06d", 5+i*len(c.replica.jobShards.all())), Tasks: 1})
 	}
 	c.replica.apply(schema.MachineShardKey(3), encode(machines), 10, false)
 	c.replica.apply(schema.JobShardKey(5), encode(jobs), 11, false)
@@ -79,11 +79,11 @@
 
 // splitDocuments returns the documents of newSplitTestController's shards, split into three and two.
 func splitDocuments(c *Controller) []splitDocument {
-	shard := newStagedShard(c.planner, c.replica.machineShards[3], false, "")
-	for _, m := range c.replica.machineShards[3].machines {
+	shard := newStagedShard(c.planner, c.replica.machineShards.find(3), false, "")
+	for _, m := range c.replica.machineShards.find(3).machines {
 		shard.machines = append(shard.machines, &stagedMachine{machine: m, shard: shard, kept: m.doc.Tasks})
 	}
-	return append(shard.split(3), stagedJobShard{c.jobShardSplits, c.replica.jobShards[5], "mark"}.split(2)...)
+	return append(shard.split(3), stagedJobShard{c.jobShardSplits, c.replica.jobShards.find(5), "mark"}.split(2)...)
 }
 
 // TestMovedTwice shows a replica two splits of one job shard together, in every order in which an answer of
@@ -103,7 +103,7 @@
 			cfg := &config.Config{Member: "a"}
 			cfg.Settings.Size, cfg.Settings.KVStore.ValueKB = 1, 100
 			c := newTestController(cfg)
-			shardCount := len(c.replica.jobShards)
+			shardCount := len(c.replica.jobShards.all())
 			job := func(n int) schema.Job { return schema.Job{ID: fmt.Sprintf("j-%06d", n), Tasks: 1} }
 			stays, moves, movesTwice := job(5), job(5+shardCount), job(5+3*shardCount)
 			c.replica.apply(schema.JobShardKey(5), encode(schema.JobShard{Jobs: []schema.Job{stays, moves, movesTwice}}), 10, false)
@@ -242,7 +242,7 @@
 		for i := range jobs {
 			id := fmt.Sprintf("j%02d-%d", i, shard)
 			if shard == 6 {
-				id = fmt.Sprintf("j-%d", shard+i*len(c.replica.jobShards))
+				id = fmt.Sprintf("j-%d", shard+i*len(c.replica.jobShards.all()))
 			}
 			document.Jobs = append(document.Jobs, schema.Job{ID: id, Class: fmt.Sprintf("class %d of many", i*i), Tasks: 1 + i*i*i})
 		}
--- a/internal/controller/shard_directory.go
+++ b/internal/controller/shard_directory.go
@@ -25,9 +25,8 @@
 //     was written in the transaction of the split, or of a later split, so it has been shown once the watch
 //     has reached the revision of that transaction.
 type shardDirectory struct {
-	initialCount int            // number of shards in the layout
-	splitCountOf func(int) int  // returns the last shown shard count of a shard; 0: it was never split, or was not shown
-	unreadable   func(int) bool // reports whether the latest shown document of a shard could not be decoded
+	initialCount int                        // number of shards in the layout
+	stateOf      func(shard int) shardState // returns the state of a shard; zero: it was not shown
 
 	splitCounts      []int               // all shard counts that shards have stated, the largest first
 	splitShards      map[int]bool        // shards that have stated a shard count
@@ -38,9 +37,15 @@
 // shardRange is the set of names that a shard owns under a shard count.
 type shardRange struct{ shard, count int }
 
-func newShardDirectory(splitCountOf func(int) int, unreadable func(int) bool) shardDirectory {
+// shardState is what the last shown document of a shard says of the shard.
+type shardState struct {
+	splitCount int  // shard count that it states; 0: it was never split, or was not shown
+	unreadable bool // a later document was shown that could not be decoded
+}
+
+func newShardDirectory(stateOf func(shard int) shardState) shardDirectory {
 	return shardDirectory{
-		splitCountOf: splitCountOf, unreadable: unreadable,
+		stateOf:     stateOf,
 		splitShards: map[int]bool{}, supersededRanges: map[shardRange]bool{}, removedAt: map[string]uint64{},
 	}
 }
@@ -84,9 +89,12 @@
 // not readable; shard then is the one that owned the name before.
 func (d *shardDirectory) owner(name string) (shard int, shown bool) {
 	shard, shown = schema.OwnerShard(name, d.initialCount, d.splitCounts, d.splitCountOf)
-	return shard, shown && !d.unreadable(shard) && !d.supersededRanges[shardRange{shard, d.countOf(shard)}]
+	return shard, shown && !d.stateOf(shard).unreadable && !d.supersededRanges[shardRange{shard, d.countOf(shard)}]
 }
 
+// splitCountOf returns the last shown shard count of a shard; 0: it was never split, or was not shown.
+func (d *shardDirectory) splitCountOf(shard int) int { return d.stateOf(shard).splitCount }
+
 // countOf returns the shard count of a shard, which is the layout's if it was never split.
 func (d *shardDirectory) countOf(shard int) int {
 	return max(d.splitCountOf(shard), d.initialCount)
--- a/internal/controller/shard_histories_test.go
+++ b/internal/controller/shard_histories_test.go
@@ -350,7 +350,7 @@
 
 func (r *historyReplica) checkJobShard(n int, document *schema.JobShard) {
 	r.t.Helper()
-	listed := slices.Clone(r.c.replica.jobShards[n].jobIDs)
+	listed := slices.Clone(r.c.replica.jobShards.find(n).jobIDs)
 	slices.Sort(listed)
 	var want []string
 	for _, job := range document.Jobs {
@@ -367,7 +367,7 @@
 
 func (r *historyReplica) checkMachineShard(n int, document *schema.MachineShard) {
 	r.t.Helper()
-	shard := r.c.replica.machineShards[n]
+	shard := r.c.replica.machineShards.find(n)
 	if len(shard.machines) != len(document.Machines) {
 		r.fail("machine shard %d has %d machines, want %d", n, len(shard.machines), len(document.Machines))
 	}
@@ -493,10 +493,10 @@
 func historyBase(t *testing.T) int {
 	t.Helper()
 	c := newHistoryReplica(t, "", nil).c
-	if len(c.replica.jobShards)%len(c.replica.machineShards) != 0 {
-		t.Fatalf("%d job shards, %d machine shards", len(c.replica.jobShards), len(c.replica.machineShards))
+	if len(c.replica.jobShards.all())%len(c.replica.machineShards.all()) != 0 {
+		t.Fatalf("%d job shards, %d machine shards", len(c.replica.jobShards.all()), len(c.replica.machineShards.all()))
 	}
-	return len(c.replica.jobShards)
+	return len(c.replica.jobShards.all())
 }
 
 // TestSmallShardHistories shows each small history in every order.
@@ -568,7 +568,7 @@
 // written.
 func TestAcceptWaitsForOwner(t *testing.T) {
 	c, writer := newTestAccepts()
-	base := len(c.replica.jobShards)
+	base := len(c.replica.jobShards.all())
 	id := fmt.Sprintf("j-%06d", baseShard+base)
 	c.replica.apply(schema.JobShardKey(baseShard), encode(schema.JobShard{ShardCount: 2 * base}), 20, false)
 	submit(c, 1, id)
@@ -610,7 +610,7 @@
 // (see TestAcceptWaitsForOwner). It stays accepted, also when shards are split, including its own.
 func TestMisplacedJob(t *testing.T) {
 	c, _ := newTestAccepts()
-	base := len(c.replica.jobShards)
+	base := len(c.replica.jobShards.all())
 	job := schema.Job{ID: fmt.Sprintf("j-%06d", baseShard+base), Tasks: 1}
 	misplaced := schema.JobShard{ShardCount: 2 * base, Jobs: []schema.Job{job}}
 	c.replica.apply(schema.JobShardKey(baseShard), encode(misplaced), 25, false)
@@ -620,7 +620,7 @@
 		c.replica.apply(schema.JobShardKey(n), encode(schema.JobShard{ShardCount: 4 * base}), 30, false)
 	}
 	checkAccepted(t, c, []schema.Job{job})
-	for _, document := range (stagedJobShard{c.jobShardSplits, c.replica.jobShards[baseShard], "tag"}).split(2) {
+	for _, document := range (stagedJobShard{c.jobShardSplits, c.replica.jobShards.find(baseShard), "tag"}).split(2) {
 		c.replica.apply(document.key, document.value, 40, false)
 	}
 	checkAccepted(t, c, []schema.Job{job})
@@ -641,7 +641,7 @@
 		{"replica not loaded", func(c *Controller) { c.replica.beginLoad() }, 10, false},
 		{"pages of later revisions", func(c *Controller) { c.replica.notePage(11) }, 10, false},
 		{"its shard not shown since a split", func(c *Controller) {
-			base := len(c.replica.jobShards)
+			base := len(c.replica.jobShards.all())
 			c.replica.apply(schema.JobShardKey(baseShard+base), encode(schema.JobShard{ShardCount: 2 * base}), 9, false)
 		}, 10, false},
 		{"done", func(c *Controller) {
@@ -671,7 +671,7 @@
 // for its owner.
 func TestDeletedJobShard(t *testing.T) {
 	c, _ := newTestAccepts()
-	base := len(c.replica.jobShards)
+	base := len(c.replica.jobShards.all())
 	id := fmt.Sprintf("j-%06d", baseShard+base)
 	for _, n := range []int{baseShard, baseShard + base} {
 		doc := schema.JobShard{ShardCount: 2 * base}
--- a/internal/controller/staging.go
+++ b/internal/controller/staging.go
@@ -6,7 +6,7 @@
 // the machine's partition sees that and commands the agent. So a team's quota is enforced in one place,
 // and each machine is commanded by one controller only.
 func (p *plan) stageShards() {
-	for _, shard := range p.replica.machineShards {
+	for _, shard := range p.replica.machineShards.all() {
 		if p.commits.isInFlight(shard.key) {
 			continue
 		}
--- a/internal/schema/corrupt_test.go
+++ b/internal/schema/corrupt_test.go
@@ -14,11 +14,13 @@
 		into any
 		ok   bool
 	}{
-		{`{"of":65536}`, new(JobShard), true},
-		{`{"of":65537}`, new(JobShard), false},
+		{`{"of":98304}`, new(JobShard), true}, // earlier versions have written such counts
+		{`{"of":2147483647}`, new(JobShard), true},
+		{`{"of":2147483648}`, new(JobShard), false},
 		{`{"of":-2}`, new(JobShard), false},
-		{`{"of":65536}`, new(MachineShard), true},
-		{`{"of":65537}`, new(MachineShard), false},
+		{`{"of":98304}`, new(MachineShard), true}, // earlier versions have written such counts
+		{`{"of":2147483647}`, new(MachineShard), true},
+		{`{"of":2147483648}`, new(MachineShard), false},
 		{`{"of":-2}`, new(MachineShard), false},
 		{`{"g":65536,"j":24}`, new(Layout), true},
 		{`{"g":65537,"j":24}`, new(Layout), false},
--- a/internal/schema/job_shard.go
+++ b/internal/schema/job_shard.go
@@ -31,7 +31,7 @@
 	if err := json.Unmarshal(raw, (*plainJobShard)(s)); err != nil {
 		return fmt.Errorf("decode job shard: %w", err)
 	}
-	return checkShardCount(s.ShardCount)
+	return checkShardCount(s.ShardCount, MaxReadableShardCount)
 }
 
 // Job is an accepted job as it was submitted. It never changes.
--- a/internal/schema/layout.go
+++ b/internal/schema/layout.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"strconv"
 	"strings"
 )
@@ -101,16 +102,22 @@
 	if doc.Format == FormatInitial {
 		l.MachineShards, l.JobShards = doc.InitialMachineShards, doc.InitialJobShards
 	}
-	return errors.Join(checkShardCount(l.MachineShards), checkShardCount(l.JobShards))
+	return errors.Join(checkShardCount(l.MachineShards, MaxShardCount), checkShardCount(l.JobShards, MaxShardCount))
 }
 
-// MaxShardCount is larger than any number of machine shards or job shards that a store can reach.
-const MaxShardCount = 1 << 16
+// Bounds of shard counts.
+const (
+	// MaxShardCount is the largest shard count that may be written: earlier versions cannot read a larger one.
+	MaxShardCount = 1 << 16
+	// MaxReadableShardCount is the largest shard count that is read. Names have numbers of 31 bits, so no larger
+	// count divides them further. Earlier versions have written counts above MaxShardCount.
+	MaxReadableShardCount = math.MaxInt32
+)
 
 // checkShardCount rejects a count that only a corrupt document can contain.
-func checkShardCount(count int) error {
-	if count < 0 || count > MaxShardCount {
-		return fmt.Errorf("shard count %d is not between 0 and %d", count, MaxShardCount)
+func checkShardCount(count, maxCount int) error {
+	if count < 0 || count > maxCount {
+		return fmt.Errorf("shard count %d is not between 0 and %d", count, maxCount)
 	}
 	return nil
 }
--- a/internal/schema/machine_shard.go
+++ b/internal/schema/machine_shard.go
@@ -71,7 +71,7 @@
 	if err := json.Unmarshal(raw, &decoded); err != nil {
 		return fmt.Errorf("decode machine shard: %w", err)
 	}
-	if err := checkShardCount(decoded.ShardCount); err != nil {
+	if err := checkShardCount(decoded.ShardCount, MaxReadableShardCount); err != nil {
 		return err
 	}
 	for i := range decoded.Machines {
