--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"frostdock.example/frostdock/internal/dag"
 	"frostdock.example/frostdock/internal/schema"
 	"frostdock.example/frostdock/internal/units"
@@ -25,10 +27,11 @@
 	dependency         *dag.Node // its node in the dependency graph; nil: not in the graph
 	maxGaps            *int      // limit on the gaps in its stored progress; nil: the constant maxProgressGaps
 
-	bindings        map[int]binding // by task number: where the task may be
-	activeCount     int             // bindings whose task is not known to be done; -1: to be counted again
-	unstoredCount   int             // bindings whose task's completion is not stored; counted with activeCount
-	recordedInEntry map[int]bool    // bindings whose task's completion is stored in the machine's entry
+	bindings        map[int]binding   // by task number: where the task may be
+	superseded      map[int][]binding // by task number: entries of earlier attempts, see addBinding
+	activeCount     int               // bindings whose task is not known to be done; -1: to be counted again
+	unstoredCount   int               // bindings whose task's completion is not stored; counted with activeCount
+	recordedInEntry map[int]bool      // bindings whose task's completion is stored in the machine's entry
 
 	// Known only to this controller, and lost when its process ends.
 	unstoredCompletions   map[int]bool   // tasks known to be done, not yet stored as such
@@ -172,15 +175,58 @@
 // addBinding records where a task may be. Of two entries for a task, the one with the later attempt is valid:
 // while a replica is loaded, its documents are read at different revisions, and the watch then repeats the
 // changes made since the first of these. An outdated entry that appears and disappears in this way must not
-// make a running task look unbound.
+// make a running task look unbound. An installation whose controllers once could not read a document may hold
+// two entries for good: the earlier attempt is stopped.
 func (j *job) addBinding(index int, bound binding) {
-	if known, ok := j.bindings[index]; ok && known.attempt > bound.attempt {
+	known, ok := j.bindings[index]
+	if ok && known.attempt > bound.attempt {
+		j.addSuperseded(index, bound)
 		return
 	}
+	if ok && known != bound {
+		j.addSuperseded(index, known)
+	}
 	j.bindings[index], j.activeCount = bound, -1
 	delete(j.recordedInEntry, index)
 }
 
+// addSuperseded records the entry of an earlier attempt of a task.
+func (j *job) addSuperseded(index int, bound binding) {
+	bound.machine.invalidateOccupancy()
+	if j.superseded == nil {
+		j.superseded = map[int][]binding{}
+	}
+	if !slices.Contains(j.superseded[index], bound) {
+		j.superseded[index] = append(j.superseded[index], bound)
+	}
+}
+
+// removeSuperseded removes the entry of an earlier attempt, if it is recorded.
+func (j *job) removeSuperseded(index int, gone binding) {
+	rest := slices.DeleteFunc(j.superseded[index], func(bound binding) bool { return bound == gone })
+	if len(rest) > 0 {
+		j.superseded[index] = rest
+	} else {
+		delete(j.superseded, index)
+	}
+}
+
+// removeEntry removes the binding of an entry that is gone. If an earlier attempt still has an entry, the task
+// is bound by that: it may be running, and must not be placed.
+func (j *job) removeEntry(index int, gone binding) {
+	if j.bindings[index] != gone {
+		j.removeSuperseded(index, gone)
+		return
+	}
+	j.removeBinding(index)
+	earlier := j.superseded[index]
+	delete(j.superseded, index)
+	for _, bound := range earlier {
+		bound.machine.invalidateOccupancy()
+		j.addBinding(index, bound)
+	}
+}
+
 // invalidateOccupancies drops the cached occupancy of the machines on which the job may run.
 func (j *job) invalidateOccupancies() {
 	for _, bound := range j.bindings {
--- a/internal/controller/plan_releases.go
+++ b/internal/controller/plan_releases.go
@@ -36,7 +36,7 @@
 		}
 		if bound, ok := j.bindings[task.Index]; ok && bound.machine == m && bound.attempt == task.Attempt {
 			p.freedTasks = append(p.freedTasks, freedTask{j, task.Index, bound})
-			j.removeBinding(task.Index)
+			j.removeEntry(task.Index, bound)
 		}
 	}
 }
--- a/internal/controller/replica_machines.go
+++ b/internal/controller/replica_machines.go
@@ -145,9 +145,7 @@
 func (r *replica) unbind(m *machine) {
 	for _, task := range m.doc.Tasks {
 		j := r.job(task.Job)
-		if b, ok := j.bindings[task.Index]; ok && b.machine == m && b.attempt == task.Attempt {
-			j.removeBinding(task.Index)
-		}
+		j.removeEntry(task.Index, binding{m, task.Attempt})
 		r.dropIfUnused(j)
 	}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -32,6 +32,7 @@
 	Completed        bool // the task has completed, as far as this controller knows
 	CompletionStored bool // the task's completion is stored
 	StopRequested    bool // the task's entry requests that it be stopped
+	Superseded       bool // a later attempt of the task has an entry
 }
 
 // StopReason is why a task must not run on a machine.
@@ -44,6 +45,7 @@
 	StopCancelled       StopReason = "job is cancelled"
 	StopCompleted       StopReason = "task is completed"
 	StopRequestedByPlan StopReason = "requested by plan"
+	StopSuperseded      StopReason = "later attempt entered"
 	StopNotEntered      StopReason = "not entered" // the task has no entry; never returned by MustStop, which judges entries only
 )
 
@@ -56,6 +58,8 @@
 		return StopCancelled
 	case f.StopRequested:
 		return StopRequestedByPlan
+	case f.Superseded:
+		return StopSuperseded
 	case f.Completed:
 		return StopCompleted
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -16,6 +16,7 @@
 		"job is cancelled":    {TaskFacts{Accepted: true, DependenciesDone: true, Cancelled: true}, allPermissions, StartMustNotRun},
 		"task is completed":   {TaskFacts{Accepted: true, DependenciesDone: true, Completed: true}, allPermissions, StartMustNotRun},
 		"stop requested":      {TaskFacts{Accepted: true, DependenciesDone: true, StopRequested: true}, allPermissions, StartMustNotRun},
+		"superseded":          {TaskFacts{Accepted: true, DependenciesDone: true, Superseded: true}, allPermissions, StartMustNotRun},
 		"dependency not done": {TaskFacts{Accepted: true}, allPermissions, StartDependenciesOpen},
 		"not authorized":      {startable, Permissions{MayStart: true}, StartNotAuthorized},
 		"replica too old":     {startable, Permissions{MayCommand: true}, StartReplicaTooOld},
