--- a/internal/controller/plan_commit.go
+++ b/internal/controller/plan_commit.go
@@ -75,6 +75,10 @@
 		}
 		shard.auditReleases()
 		documents := shard.documents()
+		if len(documents) == 0 {
+			p.restoreBindings()
+			continue
+		}
 		last := transactions[len(transactions)-1]
 		if len(last.txn.Operations)+len(documents) > p.store.limits.TxnOps {
 			last = p.newTransaction()
--- a/internal/controller/plan_outcomes.go
+++ b/internal/controller/plan_outcomes.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"slices"
 
 	"frostdock.example/frostdock/internal/guard"
@@ -88,7 +89,18 @@
 		bytes += shard.size
 	}
 	return p.budget.jointLeft() >= changes && p.budget.bytes >= bytes &&
-		!p.commits.isInFlight(shard.key) && shard.size <= p.store.limits.maxValueBytes()
+		!p.commits.isInFlight(shard.key) && p.canShorten(shard, j)
+}
+
+// canShorten reports whether the store accepts a job shard's document without a job and without those that
+// this plan removes anyway: it may have become too long to be written when the limits were announced.
+func (p *plan) canShorten(shard *jobShard, j *job) bool {
+	if shard.size <= p.store.limits.maxValueBytes() {
+		return true
+	}
+	without := map[string]bool{j.id: true}
+	maps.Copy(without, p.joint.removedJobs[shard])
+	return len(encode(p.replica.jobShardDocument(shard, without))) <= p.store.limits.acceptedValueBytes()
 }
 
 // removeJob removes a job from its job shard; its outcome is stored already, or in the same transaction.
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -29,6 +29,7 @@
 	transferPeriods map[int]*period // of transfers of machine shards, by partition
 	movePeriods     map[int]*period // of moves of services, by partition
 	unsplittableLog period
+	unwritableLog   period
 	weightLog       period
 }
 
--- a/internal/controller/resharding.go
+++ b/internal/controller/resharding.go
@@ -112,7 +112,7 @@
 			firstStep = documents
 		}
 	}
-	if d.store.limits.ratesLowered || longestDocument(firstStep) > maxValueBytes(d.cfg.Settings.KVStore.ValueKB) {
+	if longestDocument(firstStep) > d.store.limits.acceptedValueBytes() {
 		return nil
 	}
 	return firstStep
@@ -145,6 +145,7 @@
 		documents := p.splits.splitToFit(p.splits.partCount(shard.shard.size), shard)
 		if len(documents) == 0 {
 			p.warnUnsplittable(shard)
+			p.stopSurplusTasks(shard)
 			continue
 		}
 		if changes > 0 && changes+len(documents) > p.budget.changes {
@@ -177,6 +178,49 @@
 	}
 }
 
+func (p *planner) warnUnwritable(shard *stagedShard, bytes int) {
+	if p.unwritableLog.due(p.now, unsplittableLogPeriod) {
+		p.log.Warn("machine shard too long to be written", "shard", shard.shard.number, "bytes", shard.shard.size, "changed_bytes", bytes)
+	}
+}
+
+// stopSurplusTasks stops tasks on the busiest machine of a shard that is too long and cannot be split, the
+// cheapest first, until the document of those that stay may be written. After the limits have fallen the
+// document could not be changed before as many tasks have ended by themselves, which services never do.
+func (p *plan) stopSurplusTasks(shard *stagedShard) {
+	if !shard.oversized || len(shard.machines) == 0 || !p.fitsShard(shard) {
+		return
+	}
+	busiest := slices.MaxFunc(shard.machines, func(a, b *stagedMachine) int { return cmp.Compare(len(a.kept), len(b.kept)) })
+	if busiest.machine.agent == nil || busiest.machine.deleted {
+		return
+	}
+	surplus := p.surplusTasks(shard, busiest)
+	for ; surplus > 0; surplus-- {
+		victim, _, found := p.cheapestVictim(busiest, preemptionRule{eligible: func(*job) bool { return true }}, nil)
+		if !found {
+			break
+		}
+		busiest.requestStop(victim, schema.StopGracefully)
+	}
+	if len(busiest.stops) > 0 {
+		p.writeShard(shard)
+		p.log.Info("stopping tasks of a machine whose entry is too long", "machine", busiest.machine.name, "bytes", shard.shard.size, "tasks", len(busiest.stops))
+	}
+}
+
+// surplusTasks returns how many tasks of a machine must be stopped, besides those that end anyway, so that the
+// shard's document becomes short enough.
+func (p *plan) surplusTasks(shard *stagedShard, m *stagedMachine) int {
+	running := 0
+	for _, task := range m.kept {
+		if p.facts.shouldRun(m.machine, task) {
+			running++
+		}
+	}
+	return running - len(m.machine.doc.Tasks)*p.store.limits.maxValueBytes()/shard.shard.size
+}
+
 // splitShard stages a machine shard to be written as several documents.
 func (p *plan) splitShard(shard *stagedShard, documents int) {
 	shard.markSplit(documents)
--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
 	"frostdock.example/frostdock/internal/config"
+	"frostdock.example/frostdock/internal/kv"
 	"frostdock.example/frostdock/internal/schema"
 )
 
@@ -259,3 +261,98 @@
 		t.Error("the shorter shard is not split")
 	}
 }
+
+// TestLongEntry guards against a machine whose entry alone is longer than a stored value may be: its document was
+// neither split nor changed, so that entries of ended tasks stayed for ever, or it was written again and again
+// although the store refused it. It is written while the store accepts its length, and otherwise once what
+// stays of it is short enough.
+func TestLongEntry(t *testing.T) {
+	for name, tc := range map[string]struct {
+		tasks, kept     int
+		nextInEffect    bool
+		written, marked bool
+	}{
+		"too long, store accepts it":              {300, 299, false, true, true},
+		"too long, store would refuse it":         {300, 299, true, false, false},
+		"what stays is short enough":              {300, 100, true, true, true},
+		"short enough":                            {100, 99, true, true, true},
+		"too long with marks, which are left out": {196, 195, true, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newSplitter(t)
+			c.store.limits.sizesLowered = tc.nextInEffect
+			machine := busyMachine("n-000003", tc.tasks)
+			c.replica.apply(schema.MachineShardKey(3), encode(schema.MachineShard{Machines: []schema.Machine{machine}}), 10, false)
+			staged := newStagedShard(c.planner, c.replica.machineShards.find(3), true, "tag")
+			m := &stagedMachine{machine: c.replica.machines[machine.Name], shard: staged, kept: machine.Tasks[:tc.kept]}
+			staged.machines = append(staged.machines, m)
+			random := rand.New(rand.NewPCG(1, 2)) // modes in an order that does not compress
+			m.requestStop(keyOf(m.kept[0]), schema.StopImmediately)
+			for _, task := range m.kept[1:] {
+				m.requestStop(keyOf(task), schema.StopMode(random.IntN(3)))
+			}
+			documents := staged.documents()
+			if written := len(documents) == 1; written != tc.written {
+				t.Fatalf("written: %v, of %d bytes", written, staged.shard.size)
+			}
+			if !tc.written {
+				return
+			}
+			var stored schema.MachineShard
+			if err := json.Unmarshal(documents[0].value, &stored); err != nil || len(stored.Machines[0].Tasks) != tc.kept {
+				t.Fatalf("%d tasks stored, %v", len(stored.Machines[0].Tasks), err)
+			}
+			if marked := stored.Machines[0].Tasks[0].StopMode > 0; marked != tc.marked {
+				t.Errorf("marked: %v, in %d bytes", marked, len(documents[0].value))
+			}
+			if limit := 2048; tc.nextInEffect && len(documents[0].value) > limit {
+				t.Errorf("%d bytes are written, more than %d", len(documents[0].value), limit)
+			}
+		})
+	}
+}
+
+// TestRefusedSize checks that a controller keeps to the announced sizes once the store has refused a transaction
+// as malformed: it repeated one that was within the present limits only, and its partition stored nothing more.
+func TestRefusedSize(t *testing.T) {
+	c := newSplitter(t)
+	c.store.limits.next = config.KVLimits{RPS: 350, WriteRPS: 35, ValueKB: 2, TxnOps: 10}
+	refuse := func() {
+		c.store.call(kv.Request{Kind: kv.Transact, Txn: &kv.Txn{}}, func(kv.Response) {})
+		c.handleStoreResult(StoreResult{CallID: c.lastCallID, Response: kv.Response{Status: kv.StatusMalformed}})
+	}
+	if present := maxValueBytes(4); c.store.limits.acceptedValueBytes() != present {
+		t.Errorf("%d bytes accepted before a refusal, want %d", c.store.limits.acceptedValueBytes(), present)
+	}
+	refuse()
+	if next := maxValueBytes(2); c.store.limits.acceptedValueBytes() != next {
+		t.Errorf("%d bytes accepted after a refusal, want %d", c.store.limits.acceptedValueBytes(), next)
+	}
+}
+
+// TestLongJobShard guards against a job whose entry alone is longer than a stored value may be, as one accepted
+// before smaller limits were announced: neither that job nor any other of its shard could ever be removed, so
+// their users were never told that they are done. They are removed while the store accepts what stays, and
+// the long job also afterwards.
+func TestLongJobShard(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	class := make([]byte, 3000)
+	for i := range class {
+		class[i] = byte('a' + random.IntN(26))
+	}
+	for _, nextInEffect := range []bool{false, true} {
+		c := newSplitter(t)
+		c.store.limits.sizesLowered = nextInEffect
+		document := schema.JobShard{Jobs: []schema.Job{{ID: "j1-5", Class: string(class), Tasks: 1}, {ID: "j2-5", Tasks: 1}}}
+		c.replica.apply(schema.JobShardKey(5), encode(document), 10, false)
+		if size := c.replica.jobShards.find(5).size; size <= maxValueBytes(2) || size > maxValueBytes(4) {
+			t.Fatalf("the shard has %d bytes", size)
+		}
+		for id, want := range map[string]bool{"j1-5": true, "j2-5": !nextInEffect} {
+			p := newPlan(c.planner, c.partitions.led[0])
+			if got := p.canRemoveJob(c.replica.jobs[id]); got != want {
+				t.Errorf("%s removable: %v, limits fallen: %v", id, got, nextInEffect)
+			}
+		}
+	}
+}
--- a/internal/controller/shard_transfers.go
+++ b/internal/controller/shard_transfers.go
@@ -68,7 +68,7 @@
 
 // transferable reports whether this plan may transfer a machine shard.
 func (p *plan) transferable(shard *stagedShard) bool {
-	return shard.ownShard && !shard.changed && p.now-shard.shard.movedAt >= shardTransferCooldown && p.fitsShard(shard) && p.shardUnused(shard)
+	return shard.ownShard && !shard.changed && !shard.oversized && p.now-shard.shard.movedAt >= shardTransferCooldown && p.fitsShard(shard) && p.shardUnused(shard)
 }
 
 func (p *plan) transferShard(shard *stagedShard, to int) {
--- a/internal/controller/staged_machine.go
+++ b/internal/controller/staged_machine.go
@@ -114,12 +114,8 @@
 func (m *stagedMachine) document() schema.Machine {
 	document := m.machine.doc
 	document.Tasks = append(slices.Clone(m.kept), m.added...)
-	for i := range document.Tasks {
-		task := &document.Tasks[i]
-		task.StopMode = max(task.StopMode, m.stops[keyOf(*task)])
-		if m.shard.ownShard && task.DoneTenths == 0 {
-			task.DoneTenths = m.shard.planner.recordedRunTenths(m.machine, task)
-		}
+	if !m.shard.withoutMarks {
+		m.markTasks(document.Tasks)
 	}
 	if m.refence {
 		document.TokenIncrements++
@@ -131,6 +127,17 @@
 	return document
 }
 
+// markTasks marks the tasks that are to be stopped and those whose completion is to be recorded.
+func (m *stagedMachine) markTasks(tasks schema.Tasks) {
+	for i := range tasks {
+		task := &tasks[i]
+		task.StopMode = max(task.StopMode, m.stops[keyOf(*task)])
+		if m.shard.ownShard && task.DoneTenths == 0 {
+			task.DoneTenths = m.shard.planner.recordedRunTenths(m.machine, task)
+		}
+	}
+}
+
 // withdrawAdded removes the bindings of the added tasks whose entries the replica does not show, since
 // these were not stored.
 func (m *stagedMachine) withdrawAdded() {
--- a/internal/controller/staged_shard.go
+++ b/internal/controller/staged_shard.go
@@ -17,13 +17,14 @@
 	writeTag string
 	ownShard bool // the shard belongs to the plan's own partition
 
-	changed     bool             // the document is written by this plan
-	picked      bool             // arrays may use the shard in this plan
-	splitParts  int              // documents that the shard is split into; 0: it is not split
-	transferTo  int              // partition that the shard is transferred to, or -1
-	newMachines []schema.Machine // machines that this plan registers
-	oversized   bool             // longer than a stored value may be: the shard must be split first
-	bytesLeft   int              // bytes by which the document may still grow
+	changed      bool             // the document is written by this plan
+	picked       bool             // arrays may use the shard in this plan
+	splitParts   int              // documents that the shard is split into; 0: it is not split
+	transferTo   int              // partition that the shard is transferred to, or -1
+	newMachines  []schema.Machine // machines that this plan registers
+	oversized    bool             // longer than a stored value may be: nothing can be added
+	withoutMarks bool             // stops and completions are not entered, as they would make the document too long
+	bytesLeft    int              // bytes by which the document may still grow
 }
 
 func newStagedShard(planner *planner, shard *machineShard, ownShard bool, writeTag string) *stagedShard {
@@ -54,21 +55,45 @@
 	return document
 }
 
-// documents returns the machine shard as it is to be stored, as several documents if it is split.
+// documents returns the machine shard as it is to be stored, as several documents if it is split; none if it
+// cannot be stored now, because even without anything that lengthens it the document would be too long.
 func (s *stagedShard) documents() []splitDocument {
 	if s.splitParts > 1 {
 		return s.split(s.splitParts)
 	}
+	limits := &s.planner.store.limits
 	value := encode(s.document())
-	if len(value) > s.planner.store.limits.maxValueBytes() && s.addsTasks() {
+	if len(value) > limits.maxValueBytes() && s.addsTasks() {
 		// The size estimate was too low: leave out the added tasks.
 		s.planner.log.Error("machine shard exceeds value limit", "shard", s.shard.number, "bytes", len(value))
 		s.withdrawAdded()
 		value = encode(s.document())
 	}
+	if len(value) > s.acceptedBytes() {
+		s.withoutMarks = true
+		value = encode(s.document())
+	}
+	if len(value) > s.acceptedBytes() {
+		s.planner.warnUnwritable(s, len(value))
+		return nil
+	}
 	return []splitDocument{{s.shard.key, value}}
 }
 
+// acceptedBytes returns the length of the longest document to which nothing is added. One that is too long
+// already may be written as long as the store accepts it.
+func (s *stagedShard) acceptedBytes() int {
+	limits := &s.planner.store.limits
+	if s.oversized {
+		return limits.acceptedValueBytes()
+	}
+	return limits.maxValueBytes() + markMarginBytes
+}
+
+// markMarginBytes is how far a document that is not too long may grow beyond the usual limit by marks on its
+// entries, still within the store's limit.
+const markMarginBytes = valueMarginBytes
+
 func (s *stagedShard) addsTasks() bool {
 	return slices.ContainsFunc(s.machines, func(m *stagedMachine) bool { return len(m.added) > 0 })
 }
--- a/internal/controller/staging.go
+++ b/internal/controller/staging.go
@@ -65,9 +65,10 @@
 	return known
 }
 
-// fitsShard reports whether the plan can still write the shard.
+// fitsShard reports whether the plan can still write the shard. To one that is too long nothing can be added
+// (bytesLeft), but entries can be released and tasks be stopped.
 func (p *plan) fitsShard(shard *stagedShard) bool {
-	return shard.changed || !shard.oversized && p.budget.changes > 0 && p.budget.hasBytesFor(shard.shard.size)
+	return shard.changed || p.budget.changes > 0 && p.budget.hasBytesFor(shard.shard.size)
 }
 
 // writeShard marks the shard to be written by this plan and deducts it from the plan's budget.
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// noteRefusedSize records that the store refused a transaction, which may have been too large.
+func (s *storeClient) noteRefusedSize() {
+	if s.limits.noteRefusedSize() {
+		s.log.Warn("store refuses a transaction, keeping to announced sizes", "value_kb", s.limits.ValueKB, "txn_ops", s.limits.TxnOps)
+	}
+}
+
 // handleStoreResult passes the answer to a request to its sender.
 func (c *Controller) handleStoreResult(result StoreResult) {
 	done := c.store.take(result)
@@ -86,5 +93,8 @@
 	if result.Response.Status == kv.StatusThrottled && c.replica.dependenciesEnabled() {
 		c.store.noteThrottled()
 	}
+	if result.Response.Status == kv.StatusMalformed && c.replica.dependenciesEnabled() {
+		c.store.noteRefusedSize()
+	}
 	done(result.Response)
 }
--- a/internal/controller/storelimits.go
+++ b/internal/controller/storelimits.go
@@ -11,12 +11,14 @@
 // tighter.
 type storeLimits struct {
 	config.KVLimits
+	present      config.KVLimits // limits of the settings, as long as the next ones are not in effect
 	next         config.KVLimits // limits that will take effect at some later time
 	ratesLowered bool            // the store was observed to permit lower rates than the present settings say
+	sizesLowered bool            // the store was observed to refuse sizes that the present settings permit
 }
 
 func newStoreLimits(s *config.Settings) storeLimits {
-	return storeLimits{KVLimits: s.KVStore.KVLimits, next: s.NextKVLimits()}
+	return storeLimits{KVLimits: s.KVStore.KVLimits, present: s.KVStore.KVLimits, next: s.NextKVLimits()}
 }
 
 // adoptTighter restricts sizes to the tighter of the present and the next limits, since the next limits
@@ -40,6 +42,26 @@
 	return true
 }
 
+// noteRefusedSize concludes from a 400 that the next sizes may already be in effect. It reports whether that
+// is new.
+func (l *storeLimits) noteRefusedSize() bool {
+	if l.sizesLowered || l.next.ValueKB >= l.present.ValueKB && l.next.TxnOps >= l.present.TxnOps {
+		return false
+	}
+	l.sizesLowered = true
+	return true
+}
+
+// acceptedValueBytes returns the length of the longest value that the store is expected to accept for a document
+// that is too long already, so that it can be shortened in several steps: that of the present limits, until
+// one of the next limits was observed to be in effect.
+func (l *storeLimits) acceptedValueBytes() int {
+	if l.ratesLowered || l.sizesLowered {
+		return l.maxValueBytes()
+	}
+	return maxValueBytes(l.present.ValueKB)
+}
+
 // maxValueBytes returns the maximum length of a stored value: within the store's limit, and short enough
 // for one transaction to hold at least two of them.
 func (l *storeLimits) maxValueBytes() int { return maxValueBytes(l.ValueKB) }
