--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -23,6 +23,7 @@
 // for, and starving jobs. It updates only each job's waiting time and failure count, and places nothing.
 type demandFinder struct {
 	*environment
+	store   *storeClient
 	replica *replica
 	catalog *catalog
 	writes  *writeBudget
@@ -69,10 +70,16 @@
 	return partition
 }
 
+// entryFull reports whether a machine's document has no space for another entry, and contains no other machine
+// from which a split could separate it. Tasks that fit its CPUs need another machine then.
+func (f *demandFitter) entryFull(m *machine) bool {
+	return len(m.shard.machines) == 1 && f.store.limits.maxValueBytes()-m.shard.size-documentOverheadBytes < taskEntryBytes
+}
+
 // addMachine adds a machine that takes tasks, with its free capacity.
 func (f *demandFitter) addMachine(m *machine) {
 	machineType := f.catalog.machineType(m.doc.Type)
-	if machineType == nil || m.commandingPartition() < 0 || m.agent != nil && !m.agent.takesNewTasks() {
+	if machineType == nil || m.commandingPartition() < 0 || m.agent != nil && !m.agent.takesNewTasks() || f.entryFull(m) {
 		return
 	}
 	free := &freeMachine{m, resources{machineType.CPUs, machineType.GPUs, machineType.MemGB}}
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -85,7 +85,7 @@
 
 // wireDemand connects the component that finds unmet demand.
 func (c *Controller) wireDemand() {
-	c.demand = &demandFinder{environment: c.environment, replica: c.replica, catalog: c.catalog, writes: c.budget}
+	c.demand = &demandFinder{environment: c.environment, store: c.store, replica: c.replica, catalog: c.catalog, writes: c.budget}
 }
 
 // wireAutoscaler connects the component that rents and returns machines.
