--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -12,6 +12,7 @@
 const (
 	loadRetryDelay     = 300 * units.Millisecond // before a failed read of a page is repeated
 	layoutRetryDelay   = 100 * units.Millisecond // before a reload that reads the layout stored by then
+	unreadableDelay    = 5 * units.Second        // before a reload after one that found the layout unreadable
 	watchWait          = 10 * units.Second       // how long the store may hold a watch open without a change
 	watchRetryDelay    = 200 * units.Millisecond // before the next watch after an error
 	watchRefusalDelay  = 100 * units.Millisecond // before the next watch after a refused one
@@ -130,12 +131,17 @@
 	l.finish()
 }
 
-// finish completes the load after the last page, and stores a layout if the store has none.
+// finish completes the load after the last page, and stores a layout if the store has none. Without a readable
+// layout the other documents can't be understood.
 func (l *replicaLoad) finish() {
 	l.removeUnlisted()
-	if l.replica.layoutKnown {
+	switch {
+	case l.replica.layoutKnown:
 		l.beginWatch(l.baseRevision)
-	} else {
+	case l.replica.unreadable[schema.LayoutKey]:
+		l.replica.logUnreadable()
+		l.after(unreadableDelay, l.load)
+	default:
 		l.writeLayout(l.baseRevision)
 	}
 }
--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -281,16 +281,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newSplitter(t)
 			c.store.limits.sizesLowered = tc.nextInEffect
-			machine := busyMachine("n-000003", tc.tasks)
-			c.replica.apply(schema.MachineShardKey(3), encode(schema.MachineShard{Machines: []schema.Machine{machine}}), 10, false)
-			staged := newStagedShard(c.planner, c.replica.machineShards.find(3), true, "tag")
-			m := &stagedMachine{machine: c.replica.machines[machine.Name], shard: staged, kept: machine.Tasks[:tc.kept]}
-			staged.machines = append(staged.machines, m)
-			random := rand.New(rand.NewPCG(1, 2)) // modes in an order that does not compress
-			m.requestStop(keyOf(m.kept[0]), schema.StopImmediately)
-			for _, task := range m.kept[1:] {
-				m.requestStop(keyOf(task), schema.StopMode(random.IntN(3)))
-			}
+			staged := stageLongEntry(c, tc.tasks, tc.kept)
 			documents := staged.documents()
 			if written := len(documents) == 1; written != tc.written {
 				t.Fatalf("written: %v, of %d bytes", written, staged.shard.size)
@@ -312,6 +303,21 @@
 	}
 }
 
+// stageLongEntry stages a machine of which the given number of tasks are kept, most of them to be stopped.
+func stageLongEntry(c *Controller, tasks, kept int) *stagedShard {
+	machine := busyMachine("n-000003", tasks)
+	c.replica.apply(schema.MachineShardKey(3), encode(schema.MachineShard{Machines: []schema.Machine{machine}}), 10, false)
+	staged := newStagedShard(c.planner, c.replica.machineShards.find(3), true, "tag")
+	m := &stagedMachine{machine: c.replica.machines[machine.Name], shard: staged, kept: machine.Tasks[:kept]}
+	staged.machines = append(staged.machines, m)
+	random := rand.New(rand.NewPCG(1, 2)) // modes in an order that does not compress
+	m.requestStop(keyOf(m.kept[0]), schema.StopImmediately)
+	for _, task := range m.kept[1:] {
+		m.requestStop(keyOf(task), schema.StopMode(random.IntN(3)))
+	}
+	return staged
+}
+
 // TestRefusedSize checks that a controller keeps to the announced sizes once the store has refused a transaction
 // as malformed: it repeated one that was within the present limits only, and its partition stored nothing more.
 func TestRefusedSize(t *testing.T) {
--- a/internal/controller/unreadable_test.go
+++ b/internal/controller/unreadable_test.go
@@ -124,6 +124,23 @@
 	}
 }
 
+// TestUnreadableLayoutAtStart starts a controller that cannot read the layout: it tried to write another one, and
+// read all documents again, ten times a second.
+func TestUnreadableLayoutAtStart(t *testing.T) {
+	u := newUnreadableTest(t)
+	layout := u.store.keys[schema.LayoutKey]
+	u.store.keys[schema.LayoutKey] = kv.KeyValue{Key: schema.LayoutKey, Value: json.RawMessage(`{"format":"x"}`), ModRevision: layout.ModRevision}
+	u.steps() // 7.5 s
+	if lists := u.store.requestCounts[kv.List]; lists > 2 || u.controller.replica.synced {
+		t.Errorf("%d pages read, loaded: %v", lists, u.controller.replica.synced)
+	}
+	u.storeValue(schema.LayoutKey, string(layout.Value))
+	u.steps()
+	if !u.controller.authority.leads(0) {
+		t.Error("the partition is not led when the layout is readable")
+	}
+}
+
 // TestUnreadableRegistration checks that a process whose registration is not readable counts as one that does
 // not know the format, so that the format is not raised.
 func TestUnreadableRegistration(t *testing.T) {
