--- a/internal/controller/resharding.go
+++ b/internal/controller/resharding.go
@@ -87,21 +87,20 @@
 	return min(d.store.limits.TxnOps, schema.MaxShardCount/shardCount)
 }
 
-// partCounts returns the numbers of parts into which a split divides the entries, in the order in which they
-// are to be tried: from minParts up, then the smaller ones.
+// partCounts returns the numbers of parts, ascending from minParts, into which a split divides the entries; if
+// there is none, the largest smaller one. With fewer parts than that, none would be shorter.
 func (d *documentSplitter) partCounts(minParts int, names nameSet) []int {
-	var larger, smaller []int
+	var counts []int
 	for parts := d.maxParts(names.shardCount); parts >= 2; parts-- {
-		switch {
-		case !names.isDividedInto(parts):
-		case parts >= minParts:
-			larger = append(larger, parts)
-		default:
-			smaller = append(smaller, parts)
+		if parts < minParts && len(counts) > 0 {
+			break
+		}
+		if names.isDividedInto(parts) {
+			counts = append(counts, parts)
 		}
 	}
-	slices.Reverse(larger)
-	return append(larger, smaller...)
+	slices.Reverse(counts)
+	return counts
 }
 
 // splitToFit splits a shard into the fewest parts, but at least minParts if possible, that all fit the limits
@@ -115,9 +114,7 @@
 		if longestDocument(documents) <= d.store.limits.maxValueBytes() {
 			return documents
 		}
-		if len(documents) > len(firstStep) {
-			firstStep = documents
-		}
+		firstStep = documents
 	}
 	if longestDocument(firstStep) > d.store.limits.acceptedValueBytes() {
 		return nil
