--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -235,6 +235,23 @@
 	}
 }
 
+// TestSplitKeepsCountReadable has shards that every split divides, close to the largest shard count that every
+// version reads: none is split beyond it.
+func TestSplitKeepsCountReadable(t *testing.T) {
+	for count, want := range map[int]int{32768: 2, 32769: 0, schema.MaxShardCount: 0, 4 * schema.MaxShardCount: 0} {
+		c := newSplitter(t)
+		document := schema.JobShard{ShardCount: count}
+		for i := range 3 {
+			document.Jobs = append(document.Jobs, schema.Job{ID: fmt.Sprintf("j-%d", 5+i*count), Tasks: 1})
+		}
+		c.replica.apply(schema.JobShardKey(5), encode(document), 10, false)
+		documents := c.splits.splitToFit(2, stagedJobShard{c.jobShardSplits, c.replica.jobShards.find(5), "tag"})
+		if len(documents) != want {
+			t.Errorf("a shard of %d is split into %d, want %d", count, len(documents), want)
+		}
+	}
+}
+
 // TestUnsplittableShardHidesNoOther has two job shards that are too long, of which no split divides the longer
 // one. Only the longest shard was considered, so the other was never split and took no more jobs.
 func TestUnsplittableShardHidesNoOther(t *testing.T) {
