--- a/internal/controller/autoscaler_test.go
+++ b/internal/controller/autoscaler_test.go
@@ -138,12 +138,14 @@
 }
 
 // TestOnlyScalingLeaderRents checks that an autoscaler rents only if it leads partition 0, not if it
-// leads no partition or another one.
+// leads no partition or another one, nor while a document is unreadable.
 func TestOnlyScalingLeaderRents(t *testing.T) {
 	for name, tc := range map[string]struct {
-		led   map[int]bool
-		rents bool
+		led        map[int]bool
+		rents      bool
+		unreadable bool
 	}{
+		"unreadable":        {led: map[int]bool{scalingPartition: true}, unreadable: true},
 		"leads nothing":     {},
 		"leads partition 1": {led: map[int]bool{1: true}},
 		"leads partition 0": {led: map[int]bool{scalingPartition: true}, rents: true},
@@ -151,6 +153,9 @@
 		t.Run(name, func(t *testing.T) {
 			rig := newAutoscalerRig(t)
 			rig.cluster.led = tc.led
+			if tc.unreadable {
+				rig.replica.unreadable = map[string]bool{schema.MachineShardKey(7): true}
+			}
 			rig.cluster.unmet = []unmetDemand{{waitingJob(nil), 64}}
 			rented := false
 			for range 10 {
--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -273,6 +273,11 @@
 	}
 	c.membership.registered, c.freshness.provenAt = true, c.now
 	c.replica.beginSync(20)
+	c.replica.unreadable[schema.JobShardKey(7)] = true
+	if c.jobShardSplits.run(); c.jobShardSplits.inFlight {
+		t.Error("a shard is split while a document is unreadable")
+	}
+	clear(c.replica.unreadable)
 	c.jobShardSplits.run()
 	if !c.jobShardSplits.inFlight || !c.commits.isInFlight(schema.JobShardKey(6)) {
 		t.Error("the shorter shard is not split")
--- a/internal/controller/unreadable_test.go
+++ b/internal/controller/unreadable_test.go
@@ -145,12 +145,39 @@
 // not know the format, so that the format is not raised.
 func TestUnreadableRegistration(t *testing.T) {
 	u := newUnreadableTest(t)
-	u.controller.replica.apply(schema.RegistrationKey("b", "1"), json.RawMessage(`[]`), 1, false)
+	u.controller.replica.apply(schema.RegistrationKey("a", "1"), encode(schema.Registration{Format: knownFormat}), 1, false)
+	if _, all := u.controller.gate.memberRegistrations(); !all {
+		t.Fatal("the only member does not know the format")
+	}
+	u.controller.replica.apply(schema.RegistrationKey("b", "1"), json.RawMessage(`[]`), 2, false)
 	if _, all := u.controller.gate.memberRegistrations(); all || !u.controller.replica.allReadable() {
 		t.Errorf("all know the format: %v, all readable: %v", all, u.controller.replica.allReadable())
 	}
 }
 
+// TestFormatWaitsForReadableLayout checks that the format is not raised while the layout is unreadable, which would
+// overwrite it, and is raised afterwards.
+func TestFormatWaitsForReadableLayout(t *testing.T) {
+	u := newUnreadableTest(t)
+	layout := schema.Layout{MachineShards: 96, JobShards: 48}
+	u.store.put(schema.LayoutKey, layout)
+	for range stepsToSettle {
+		if u.step(); u.controller.replica.layoutKnown {
+			break
+		}
+	}
+	u.storeValue(schema.LayoutKey, `[]`)
+	u.steps()
+	if got := string(u.store.keys[schema.LayoutKey].Value); got != `[]` {
+		t.Errorf("overwritten by %s", got)
+	}
+	u.storeValue(schema.LayoutKey, string(encode(layout)))
+	u.steps()
+	if !u.controller.replica.dependenciesEnabled() {
+		t.Error("the format is not raised")
+	}
+}
+
 // TestRequestsAboutUnreadableShard starts a controller that cannot read a job shard. Jobs that the shard may list
 // are not called unknown, and none is accepted into it; questions and submissions that other shards decide are
 // answered as ever.
@@ -178,8 +205,9 @@
 		"submission, readable job shard": {UserRequest{Kind: SubmitJob, JobID: "j-000010", Job: job("j-000010")}, http.StatusCreated},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if reply := u.ask(t, tc.request); reply.Status != tc.want {
-				t.Errorf("answered %d, want %d", reply.Status, tc.want)
+			askedAt := u.now
+			if reply := u.ask(t, tc.request); reply.Status != tc.want || u.now-askedAt > units.Second {
+				t.Errorf("answered %d after %v, want %d at once", reply.Status, u.now-askedAt, tc.want)
 			}
 		})
 	}
--- a/internal/simulator/stored_documents.go
+++ b/internal/simulator/stored_documents.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -14,24 +15,34 @@
 // unreadableDocument is a stored value that no version of a controller can decode as a shard.
 var unreadableDocument = json.RawMessage(`{"of":-1}`)
 
-// checkDocument returns why a controller could not decode a document that another one has stored, or nil.
+// checkDocument returns why some version of a controller could not decode a document that another one has
+// stored, or nil.
 func checkDocument(key string, value json.RawMessage) error {
-	var document any
 	switch {
 	case strings.HasPrefix(key, schema.MachineShardPrefix):
-		document = new(schema.MachineShard)
+		var shard schema.MachineShard
+		return errors.Join(json.Unmarshal(value, &shard), checkCount(shard.ShardCount))
 	case strings.HasPrefix(key, schema.JobShardPrefix):
-		document = new(schema.JobShard)
+		var shard schema.JobShard
+		return errors.Join(json.Unmarshal(value, &shard), checkCount(shard.ShardCount))
 	case strings.HasPrefix(key, schema.ProgressPrefix):
-		document = new(schema.ProgressSegment)
+		return json.Unmarshal(value, new(schema.ProgressSegment))
 	case strings.HasPrefix(key, schema.PartitionPrefix):
-		document = new(schema.Partition)
+		return json.Unmarshal(value, new(schema.Partition))
 	case key == schema.LayoutKey:
-		document = new(schema.Layout)
-	default:
-		return nil
+		return json.Unmarshal(value, new(schema.Layout))
 	}
-	return json.Unmarshal(value, document)
+	return nil
+}
+
+// errLargeCount is the error for a shard count that earlier versions cannot read.
+var errLargeCount = errors.New("shard count too large for earlier versions")
+
+func checkCount(shardCount int) error {
+	if shardCount > schema.MaxShardCount {
+		return errLargeCount
+	}
+	return nil
 }
 
 // checkStored reports documents of a transaction that a controller could not decode, and unreadable documents
--- a/internal/soak/controller_log.go
+++ b/internal/soak/controller_log.go
@@ -16,8 +16,9 @@
 	maxLogLineBytes = 1 << 20
 )
 
-// fatalLogPatterns are texts that a log must not contain: crashes, data races and broken invariants.
-var fatalLogPatterns = []string{"panic: ", "fatal error: ", "DATA RACE", "invariant violated"}
+// fatalLogPatterns are texts that a log must not contain: crashes, data races, broken invariants, and documents
+// that one controller wrote and another cannot read.
+var fatalLogPatterns = []string{"panic: ", "fatal error: ", "DATA RACE", "invariant violated", "unreadable document"}
 
 // fatalLogLines lists the first fatal lines in the log, up to limit, and the error if the log can't be read.
 func (p *controllerProcess) fatalLogLines(limit int) []string {
