--- a/internal/controller/replica_test.go
+++ b/internal/controller/replica_test.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// showMachine shows a replica the machine with the given number, alone in its shard.
+func showMachine(c *Controller, number int, revision uint64, tasks ...schema.Task) *machine {
+	name := fmt.Sprintf("n-%06d", number)
+	document := schema.MachineShard{Machines: []schema.Machine{{Name: name, Addr: "x", Tasks: tasks}}}
+	c.replica.apply(schema.MachineShardKey(number), encode(document), revision, false)
+	return c.replica.machines[name]
+}
+
 // TestTwoEntriesOfOneTask shows a replica two entries of a task, as review/1 left them in the store. Both
 // attempts were kept running, the earlier one would have been started again on its machine, and once the later
 // one's entry was gone the task was placed a third time, though the earlier attempt might still run.
@@ -125,30 +133,41 @@
 		c, _ := newTestAccepts()
 		j := acceptJob(c, schema.Job{ID: "j-000005", Tasks: 1})
 		earlier, later := schema.Task{Job: j.id, Attempt: 7}, schema.Task{Job: j.id, Attempt: 9}
-		show := func(number int, revision uint64, tasks ...schema.Task) *machine {
-			name := fmt.Sprintf("n-%06d", number)
-			document := schema.MachineShard{Machines: []schema.Machine{{Name: name, Addr: "x", Tasks: tasks}}}
-			c.replica.apply(schema.MachineShardKey(number), encode(document), revision, false)
-			return c.replica.machines[name]
-		}
 		if laterFirst {
-			show(2, 10, later)
+			showMachine(c, 2, 10, later)
 		}
-		first := show(1, 10, earlier)
-		second := show(2, 11, later)
+		first := showMachine(c, 1, 10, earlier)
+		second := showMachine(c, 2, 11, later)
 		if got := c.facts.ofTask(first, earlier).MustStop(); got != guard.StopSuperseded {
 			t.Errorf("earlier attempt: %q", got)
 		}
 		if got := c.facts.ofTask(second, later).MustStop(); got != guard.KeepRunning {
 			t.Errorf("later attempt: %q", got)
 		}
-		show(2, 20)
+		showMachine(c, 2, 20)
 		if bound := j.bindings[0]; bound.machine != first || j.nextUnbound(0) >= 0 || c.facts.ofTask(first, earlier).MustStop() != guard.KeepRunning {
 			t.Errorf("bound to %+v while the earlier attempt has an entry", bound)
 		}
-		show(1, 21)
+		showMachine(c, 1, 21)
 		if len(j.bindings) > 0 || len(j.superseded) > 0 || j.nextUnbound(0) != 0 {
 			t.Errorf("bindings %v, superseded %v without an entry", j.bindings, j.superseded)
 		}
 	}
 }
+
+// TestDroppedMachineLeavesEarlierAttempt drops the machine with the later of two attempts of a task, as when the
+// cloud has deleted the machine: the task is bound by the earlier attempt, and is not placed.
+func TestDroppedMachineLeavesEarlierAttempt(t *testing.T) {
+	c, p := newTestPlan(t)
+	j := acceptJob(c, schema.Job{ID: "j-000005", Tasks: 1})
+	first := showMachine(c, 1, 10, schema.Task{Job: j.id, Attempt: 7})
+	second := showMachine(c, 2, 11, schema.Task{Job: j.id, Attempt: 9})
+	p.freeTasks(second)
+	if bound := j.bindings[0]; bound.machine != first || j.nextUnbound(0) >= 0 {
+		t.Errorf("bound to %+v", bound)
+	}
+	showMachine(c, 1, 20)
+	if j.nextUnbound(0) != 0 {
+		t.Error("not placed once the earlier attempt is gone too")
+	}
+}
--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -340,6 +340,20 @@
 	return staged
 }
 
+// TestLongShardIsNotTransferred checks that a shard that is too long to be written is not transferred to another
+// partition, which would be tried again every half second, in place of other transfers.
+func TestLongShardIsNotTransferred(t *testing.T) {
+	for tasks, want := range map[int]bool{100: true, 300: false} {
+		c := newSplitter(t)
+		c.now += shardTransferCooldown
+		staged := stageLongEntry(c, tasks, 1)
+		staged.machines[0].kept, staged.machines[0].usable = nil, true
+		if got := newPlan(c.planner, c.partitions.led[0]).transferable(staged); got != want {
+			t.Errorf("transferable with %d bytes: %v", staged.shard.size, got)
+		}
+	}
+}
+
 // TestRefusedSize checks that a controller keeps to the announced sizes once the store has refused a transaction
 // as malformed: it repeated one that was within the present limits only, and its partition stored nothing more.
 func TestRefusedSize(t *testing.T) {
