--- a/internal/controller/autoscaler.go
+++ b/internal/controller/autoscaler.go
@@ -139,8 +139,8 @@
 	return a
 }
 
-// run does the autoscaling work that is due in this step. Without an unreadable document neither the demand nor
-// the machines that have an entry are known: then none is rented or deleted.
+// run does the autoscaling work that is due in this step. While a document is unreadable, neither the demand nor
+// the machines that have an entry are known, so none is rented or deleted.
 func (a *autoscaler) run() {
 	a.catalog.refreshWhenDue()
 	if !a.replica.allReadable() {
