--- a/internal/controller/facts.go
+++ b/internal/controller/facts.go
@@ -31,7 +31,7 @@
 		Completed:        j.isDone(task.Index),
 		CompletionStored: j.done.Contains(task.Index),
 		StopRequested:    task.StopMode > 0,
-		Superseded:       j.bindings[task.Index].attempt > task.Attempt,
+		Superseded:       j.supersedes(task),
 	}
 }
 
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -190,8 +190,23 @@
 	delete(j.recordedInEntry, index)
 }
 
+// supersedes reports whether a later attempt of an entered task has an entry too.
+func (j *job) supersedes(task schema.Task) bool {
+	bound := j.bindings[task.Index]
+	return bound.attempt > task.Attempt && j.hasEntry(task.Index, bound)
+}
+
+// hasEntry reports whether a binding is that of a stored entry. One without an entry is one that a plan has not
+// stored yet, or could not store because another leader was faster.
+func (j *job) hasEntry(index int, bound binding) bool {
+	return bound.machine.hasEntry(taskKey{j.id, index, bound.attempt})
+}
+
 // addSuperseded records the entry of an earlier attempt of a task.
 func (j *job) addSuperseded(index int, bound binding) {
+	if !j.hasEntry(index, bound) {
+		return
+	}
 	bound.machine.invalidateOccupancy()
 	if j.superseded == nil {
 		j.superseded = map[int][]binding{}
--- a/internal/controller/replica_test.go
+++ b/internal/controller/replica_test.go
@@ -171,3 +171,17 @@
 		t.Error("not placed once the earlier attempt is gone too")
 	}
 }
+
+// TestUnstoredBindingIsNotKept binds a task on a machine, as a plan does whose transaction then fails because
+// another leader has bound the task elsewhere. The first binding has no entry, so once the other one's entry is
+// gone the task waits to be placed.
+func TestUnstoredBindingIsNotKept(t *testing.T) {
+	c, _ := newTestAccepts()
+	j := acceptJob(c, schema.Job{ID: "j-000005", Tasks: 1})
+	j.addBinding(0, binding{showMachine(c, 1, 10), 7})
+	showMachine(c, 2, 11, schema.Task{Job: j.id, Attempt: 9})
+	showMachine(c, 2, 12)
+	if j.nextUnbound(0) != 0 {
+		t.Errorf("bound to %+v without an entry", j.bindings[0])
+	}
+}
