--- a/internal/controller/resharding_test.go
+++ b/internal/controller/resharding_test.go
@@ -298,6 +298,7 @@
 		"too long, store would refuse it":         {300, 299, true, false, false},
 		"what stays is short enough":              {300, 100, true, true, true},
 		"short enough":                            {100, 99, true, true, true},
+		"lengthened by marks, within the margin":  {201, 200, true, true, false},
 		"too long with marks, which are left out": {196, 195, true, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/controller/staged_shard.go
+++ b/internal/controller/staged_shard.go
@@ -80,20 +80,17 @@
 	return []splitDocument{{s.shard.key, value}}
 }
 
-// acceptedBytes returns the length of the longest document to which nothing is added. One that is too long
-// already may be written as long as the store accepts it.
+// acceptedBytes returns the length of the longest document to which nothing is added. Marks on its entries may
+// take the margin that is left within the store's limit, and one that is too long already may be written as long
+// as the store accepts it.
 func (s *stagedShard) acceptedBytes() int {
 	limits := &s.planner.store.limits
 	if s.oversized {
-		return limits.acceptedValueBytes()
+		return limits.acceptedValueBytes() + valueMarginBytes
 	}
-	return limits.maxValueBytes() + markMarginBytes
+	return limits.maxValueBytes() + valueMarginBytes
 }
 
-// markMarginBytes is how far a document that is not too long may grow beyond the usual limit by marks on its
-// entries, still within the store's limit.
-const markMarginBytes = valueMarginBytes
-
 func (s *stagedShard) addsTasks() bool {
 	return slices.ContainsFunc(s.machines, func(m *stagedMachine) bool { return len(m.added) > 0 })
 }
