--- a/internal/controller/unreadable_test.go
+++ b/internal/controller/unreadable_test.go
@@ -215,3 +215,21 @@
 		t.Errorf("overwritten by %s", got)
 	}
 }
+
+// TestDeletedUnreadableShard deletes unreadable documents, as an operator may: their shards own their names
+// again, without entries.
+func TestDeletedUnreadableShard(t *testing.T) {
+	u := newUnreadableTest(t)
+	u.steps()
+	for _, key := range []string{schema.MachineShardKey(2), schema.JobShardKey(9)} {
+		u.storeValue(key, `{"of":-1}`)
+		u.storeValue(key, "")
+	}
+	replica := u.controller.replica
+	if _, shown := replica.jobDirectory.owner("j-000009"); !shown || !replica.allReadable() {
+		t.Errorf("job shard shown: %v, all readable: %v", shown, replica.allReadable())
+	}
+	if _, shown := replica.machineDirectory.owner("n-000002"); !shown {
+		t.Error("machine shard not shown")
+	}
+}
