--- a/internal/controller/audit.go
+++ b/internal/controller/audit.go
@@ -217,9 +217,27 @@
 		return false
 	}
 	a.decisions.releases[reason]++
+	a.logRelease(m, task, reason)
 	return true
 }
 
+// logRelease logs the release of an entry with the age of the evidence that it may rest on: how long ago the
+// agent's latest heartbeat arrived, and how long ago a response with a start was sent that no newer heartbeat has
+// followed.
+func (a *audit) logRelease(m *machine, task schema.Task, reason guard.ReleaseReason) {
+	if !a.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	attrs := []any{"task", keyOf(task).task(), "attempt", task.Attempt, "machine", m.name, "reason", reason}
+	if m.agent != nil {
+		attrs = append(attrs, "agent_epoch", m.agent.epoch, "sequence", m.agent.sequence, "heard_ago_s", (a.now - m.agent.heardAt).Seconds())
+		if startAt := m.agent.responses.startAt; startAt > 0 {
+			attrs = append(attrs, "start_ago_s", (a.now - startAt).Seconds())
+		}
+	}
+	a.log.Debug("release", attrs...)
+}
+
 // auditForgotten refuses to remove jobs whose outcome is neither stored nor written in the same
 // transaction.
 func (p *plan) auditForgotten() {
