--- a/internal/controller/agentstate.go
+++ b/internal/controller/agentstate.go
@@ -156,7 +156,7 @@
 type responseState struct {
 	givenAt    units.Micros // when the latest response was sent
 	givenSince units.Micros // since when responses are sent without a pause longer than a lease
-	startAt    units.Micros // when a response with a start was sent, if no newer heartbeat has arrived since; 0: none
+	startAt    units.Micros // when a response sent a start, while that start is open (fencing.go); 0: none
 	token      uint64       // fencing token of the latest response
 	lost       int          // consecutive heartbeats that show that responses do not arrive
 }
--- a/internal/controller/facts.go
+++ b/internal/controller/facts.go
@@ -74,7 +74,7 @@
 }
 
 // quiesced reports whether no command can still start a task on a machine.
-func (f *factSource) quiesced(m *machine) bool { return f.replica.quiesced(m, f.now) }
+func (f *factSource) quiesced(m *machine) bool { return f.replica.quiesced(m) }
 
 // shouldRun reports whether a task that is entered on a machine should run there.
 func (f *factSource) shouldRun(m *machine, task schema.Task) bool {
--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -20,10 +20,10 @@
 //     are the present ones; it stays unclear until a heartbeat shows a higher token or a later epoch.
 //  3. In the response to a heartbeat. An agent acts on a response for responseLifetime at most, and
 //     sends its next heartbeat only after it has received the response or stopped waiting for it. So
-//     either that heartbeat has arrived and lists the started task, or the lifetime has passed. The
-//     answer to a probe or a direct command proves nothing here: an agent may send it while a response
-//     is still on its way, and a task whose start is delayed would count as absent and be placed on a
-//     second machine.
+//     that heartbeat lists the task if it was started; so does the answer to a call that was made after
+//     the lifetime had passed. Until one of them has arrived, the start is open, however long ago it was
+//     sent: the latest heartbeat may be from before it. The answer to an earlier call proves nothing,
+//     whenever it arrives: an agent may send it while the response is still on its way.
 
 // termBits is how many low bits of a fencing token hold the term of the machine's partition. The higher
 // bits count how often the machine changed partitions and how often its token was raised.
@@ -41,22 +41,31 @@
 
 // quiesced reports whether no command can still start a task on a machine; the head of this file has the
 // proof.
-func (r *replica) quiesced(m *machine, now units.Micros) bool {
+func (r *replica) quiesced(m *machine) bool {
 	state := m.agent
-	return state.heardAt > 0 && state.tokenSeen == r.fencingToken(m) && state.command.settled() && now > state.responses.startExpiresAt()
+	return state.heardAt > 0 && state.tokenSeen == r.fencingToken(m) && state.command.settled() && !state.responses.startOpen()
 }
 
 // responseLifetime is how long after the response to a heartbeat was sent an agent may still act on it,
 // with a margin for clock drift.
 const responseLifetime = 4*units.Second + 50*units.Millisecond
 
-// startExpiresAt returns until when a start that was sent in the response to a heartbeat may arrive; 0 if
-// there is no such start.
-func (r *responseState) startExpiresAt() units.Micros {
-	if r.startAt == 0 {
-		return 0
+// startOpen reports whether a response has sent a start of which no heartbeat shows yet whether it was carried
+// out.
+func (r *responseState) startOpen() bool { return r.startAt > 0 }
+
+// startOverdue reports whether a start is open although the agent can no longer carry it out. The next
+// heartbeat is then missing, and only the answer to a new call can show the outcome.
+func (r *responseState) startOverdue(now units.Micros) bool {
+	return r.startOpen() && now > r.startAt+responseLifetime
+}
+
+// callAnswered records the agent's answer to a call that was made at calledAt: it closes a start that could no
+// longer be carried out by then.
+func (r *responseState) callAnswered(calledAt units.Micros) {
+	if r.startOverdue(calledAt) {
+		r.startAt = 0
 	}
-	return r.startAt + responseLifetime
 }
 
 // directCommandStage is the state of the direct command to a machine.
--- a/internal/controller/fencing_test.go
+++ b/internal/controller/fencing_test.go
@@ -34,21 +34,37 @@
 	}
 }
 
-// TestQuiesced checks each condition under which a command can still arrive.
+// TestQuiesced checks each condition under which a command can still arrive, or may have started a task that
+// the latest heartbeat does not list.
 func TestQuiesced(t *testing.T) {
+	const startAt, expired = 100 * units.Second, 100*units.Second + responseLifetime + 1
+	startSent := func(_ *Controller, state *agentState) { state.responses.startAt = startAt }
+	answerTo := func(calledAt units.Micros) func(*Controller, *agentState) {
+		return func(c *Controller, state *agentState) {
+			startSent(c, state)
+			state.responses.callAnswered(calledAt)
+		}
+	}
 	for name, tc := range map[string]struct {
 		happens func(c *Controller, state *agentState)
 		want    bool
 	}{
-		"nothing":             {func(*Controller, *agentState) {}, true},
-		"never heard":         {func(_ *Controller, state *agentState) { state.heardAt = 0 }, false},
-		"token not seen":      {func(_ *Controller, state *agentState) { state.tokenSeen-- }, false},
-		"command in flight":   {func(_ *Controller, state *agentState) { state.command.send(1, 1) }, false},
-		"command unclear":     {func(_ *Controller, state *agentState) { state.command.send(1, 1); state.command.unanswered() }, false},
-		"start just given":    {func(c *Controller, state *agentState) { state.responses.startAt = c.now }, false},
-		"start has expired":   {func(c *Controller, state *agentState) { state.responses.startAt = c.now - responseLifetime - 1 }, true},
-		"start about to":      {func(c *Controller, state *agentState) { state.responses.startAt = c.now - responseLifetime }, false},
-		"agent was restarted": {func(_ *Controller, state *agentState) { state.forgetEpoch() }, false},
+		"nothing":           {func(*Controller, *agentState) {}, true},
+		"never heard":       {func(_ *Controller, state *agentState) { state.heardAt = 0 }, false},
+		"token not seen":    {func(_ *Controller, state *agentState) { state.tokenSeen-- }, false},
+		"command in flight": {func(_ *Controller, state *agentState) { state.command.send(1, 1) }, false},
+		"command unclear":   {func(_ *Controller, state *agentState) { state.command.send(1, 1); state.command.unanswered() }, false},
+		"start just given":  {func(c *Controller, state *agentState) { state.responses.startAt = c.now }, false},
+		"start has expired": {func(c *Controller, state *agentState) { state.responses.startAt = c.now - responseLifetime - 1 }, false},
+		"start about to":    {func(c *Controller, state *agentState) { state.responses.startAt = c.now - responseLifetime }, false},
+		"start, then heartbeat": {func(c *Controller, state *agentState) {
+			startSent(c, state)
+			state.responses.heartbeatReceived(startAt+1, 0, false, 0, 0)
+		}, true},
+		"called before the end":   {answerTo(expired - 1), false},
+		"called after the end":    {answerTo(expired), true},
+		"called before the start": {answerTo(startAt - 1), false},
+		"agent was restarted":     {func(_ *Controller, state *agentState) { state.forgetEpoch() }, false},
 	} {
 		c, _, _ := controllerWithForeignJob(t)
 		m := c.replica.machines["n-000001"]
--- /dev/null
+++ b/internal/controller/lost_start_test.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"slices"
+	"testing"
+
+	"frostdock.example/frostdock/internal/agent"
+	"frostdock.example/frostdock/internal/schema"
+	"frostdock.example/frostdock/internal/units"
+)
+
+// startedByResponse is a controller that has started a task on n-000001 in the response to a heartbeat, after
+// which the task was to be stopped. The agent's latest heartbeat is from before the start.
+type startedByResponse struct {
+	*pushCase
+	t       *testing.T
+	cut     bool // no call to the machine is answered
+	started units.Micros
+}
+
+func newStartedByResponse(t *testing.T) *startedByResponse {
+	t.Helper()
+	p := &startedByResponse{pushCase: newPushCase(t), t: t}
+	p.enterTask(schema.KeepRunning) // the direct command comes back as not sent
+	p.step()
+	if countStarts(p.step(p.heartbeat())) != 1 {
+		t.Fatal("no start in the response to the heartbeat")
+	}
+	p.started, p.refuse = p.now, false
+	return p
+}
+
+// heartbeat returns the agent's next heartbeat.
+func (p *startedByResponse) heartbeat() HeartbeatRequest {
+	p.store.heartbeatSequence++
+	token := p.c.replica.fencingToken(p.c.replica.machines["n-000001"])
+	return HeartbeatRequest{RequestID: 9, Heartbeat: agent.Heartbeat{
+		Machine: "n-000001", Addr: "n-000001", Type: "big", Zone: "a", Epoch: 1,
+		Sequence: p.store.heartbeatSequence, FencingToken: token, Tasks: p.tasks,
+	}}
+}
+
+// runUntil steps until a time after the start.
+func (p *startedByResponse) runUntil(afterStart units.Micros) {
+	for p.now < p.started+afterStart {
+		p.step()
+		if p.cut {
+			p.dropAnswers()
+		}
+	}
+}
+
+// dropAnswers makes the calls that are in flight fail.
+func (p *startedByResponse) dropAnswers() {
+	for i, message := range p.msgs {
+		if result, ok := message.(AgentResult); ok {
+			p.msgs[i] = AgentResult{CallID: result.CallID}
+		}
+	}
+}
+
+// checkEntry fails the test unless the stored document lists the task, or does not, as wanted.
+func (p *startedByResponse) checkEntry(want bool, when string) {
+	p.t.Helper()
+	var shard schema.MachineShard
+	key := shardOfMachine(p.c.replica.layout)
+	if !p.c.decode(key, p.store.keys[key].Value, &shard) {
+		p.t.Fatal("unreadable machine shard")
+	}
+	listed := slices.ContainsFunc(shard.Machines, func(m schema.Machine) bool { return len(m.Tasks) > 0 })
+	if listed != want {
+		p.t.Errorf("%s: entry listed: %v, want %v", when, listed, want)
+	}
+}
+
+// planDelay is ample time for a plan to be made and stored.
+const planDelay = units.Second
+
+// leaseEnd returns when, after the start, the lease of the agent has certainly expired.
+func (p *startedByResponse) leaseEnd() units.Micros {
+	return p.c.replica.machines["n-000001"].agent.leaseEnd - p.started
+}
+
+// TestStartWithoutNewerHeartbeat guards against a task that runs twice: its machine loses the network right
+// after a response started the task, and the heartbeat from before the start is taken for a proof of absence.
+// The entry is released once the lease has expired.
+func TestStartWithoutNewerHeartbeat(t *testing.T) {
+	for name, stop := range map[string]func(*startedByResponse){
+		"stop requested": func(p *startedByResponse) { p.enterTask(schema.StopGracefully) },
+		"job cancelled":  func(p *startedByResponse) { p.cancelJob() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newStartedByResponse(t)
+			p.cut = true
+			stop(p)
+			p.runUntil(p.leaseEnd())
+			p.checkEntry(true, "while the lease may run")
+			p.runUntil(p.leaseEnd() + planDelay)
+			p.checkEntry(false, "after the lease")
+		})
+	}
+}
+
+// TestAnswerToEarlierCall guards against a proof of absence by an answer that arrives when the start can no
+// longer be carried out, but was sent before that.
+func TestAnswerToEarlierCall(t *testing.T) {
+	p := newStartedByResponse(t)
+	p.cut = true
+	p.enterTask(schema.StopGracefully)
+	p.runUntil(responseLifetime - planDelay)
+	m := p.c.replica.machines["n-000001"]
+	p.c.after(0, func() { p.c.agents.probe(m) })
+	var calls []AgentCall
+	for _, effect := range p.step() {
+		if call, ok := effect.(AgentCall); ok {
+			calls = append(calls, call)
+		}
+	}
+	p.msgs = nil
+	p.runUntil(responseLifetime + planDelay)
+	for _, call := range calls {
+		p.step(p.store.answerAgent(call))
+	}
+	p.runUntil(responseLifetime + 2*planDelay)
+	if len(calls) != 1 || m.agent.heardAt < p.started+responseLifetime {
+		t.Fatalf("%d calls, last heard %.1f s after the start", len(calls), (m.agent.heardAt - p.started).Seconds())
+	}
+	p.checkEntry(true, "after an answer to a call from before the end of the lifetime")
+}
+
+// TestNextHeartbeatReleases checks that the entry of a start that was not carried out is released as soon as
+// the next heartbeat does not list the task, even while a response could still be on its way.
+func TestNextHeartbeatReleases(t *testing.T) {
+	p := newStartedByResponse(t)
+	p.cut = true
+	p.enterTask(schema.StopGracefully)
+	p.step(p.heartbeat())
+	p.runUntil(planDelay)
+	p.checkEntry(false, "after the next heartbeat")
+}
+
+// TestAnswerToNewCallReleases checks that the entry is released on a machine whose heartbeats no longer arrive
+// but which answers calls: it is asked once the start can no longer be carried out.
+func TestAnswerToNewCallReleases(t *testing.T) {
+	p := newStartedByResponse(t)
+	p.enterTask(schema.StopGracefully)
+	p.runUntil(responseLifetime)
+	p.checkEntry(true, "before the end of the lifetime")
+	p.runUntil(responseLifetime + probePeriod + planDelay)
+	p.checkEntry(false, "after the answer to a new call")
+}
--- a/internal/controller/occupancy.go
+++ b/internal/controller/occupancy.go
@@ -55,7 +55,6 @@
 func (p *planner) ownOccupancy(m *machine) occupancy {
 	o := occupancy{validUntil: p.now + occupancyMaxAge}
 	o.expireAfter(p.now, m.agent.leaseEnd)
-	o.expireAfter(p.now, m.agent.responses.startExpiresAt())
 	for _, task := range m.doc.Tasks {
 		j := p.replica.jobs[task.Job]
 		mayRelease := p.facts.mayRelease(m, task)
--- a/internal/controller/push.go
+++ b/internal/controller/push.go
@@ -37,14 +37,15 @@
 	state.command.send(token, state.epoch)
 	m.invalidateOccupancy()
 	request := &agent.CommandRequest{FencingToken: token, Epoch: state.epoch, Commands: commands}
-	g.call(m.doc.Addr, request, &pushCall{gateway: g, machine: m, state: state})
+	g.call(m.doc.Addr, request, &pushCall{gateway: g, machine: m, state: state, calledAt: g.now})
 }
 
 // pushCall is a direct command in flight.
 type pushCall struct {
-	gateway *agentGateway
-	machine *machine
-	state   *agentState // agent state when the command was sent
+	gateway  *agentGateway
+	machine  *machine
+	state    *agentState // agent state when the command was sent
+	calledAt units.Micros
 }
 
 func (p *pushCall) done(heartbeat *agent.Heartbeat) {
@@ -56,6 +57,7 @@
 	g.planNeeded = true
 	if heartbeat != nil && heartbeat.Machine == m.name {
 		p.state.command.answered()
+		p.state.responses.callAnswered(p.calledAt)
 		g.reconciler.reconcile(m, heartbeat)
 		return
 	}
@@ -92,7 +94,7 @@
 		return
 	}
 	state.probe.inFlight = true
-	g.call(m.doc.Addr, nil, &probeCall{gateway: g, machine: m, state: state, epoch: state.epoch, sequence: state.sequence})
+	g.call(m.doc.Addr, nil, &probeCall{gateway: g, machine: m, state: state, calledAt: g.now, epoch: state.epoch, sequence: state.sequence})
 }
 
 // probeCall is a probe in flight.
@@ -100,7 +102,8 @@
 	gateway         *agentGateway
 	machine         *machine
 	state           *agentState // agent state when the probe was sent
-	epoch, sequence uint64      // of the latest heartbeat when the probe was sent
+	calledAt        units.Micros
+	epoch, sequence uint64 // of the latest heartbeat when the probe was sent
 }
 
 // notSent probes the machine again after a delay, unless the agent is heard in the meantime.
@@ -127,6 +130,8 @@
 		return
 	}
 	state.probe.answered()
+	state.responses.callAnswered(p.calledAt)
+	m.invalidateOccupancy()
 	if !heartbeat.Newer(p.epoch, p.sequence) && state.epoch == p.epoch && state.sequence == p.sequence {
 		// The answer to a probe is never a late duplicate. If its sequence number is not newer, the agent
 		// was restarted: it counts from the start again and has lost its tasks. Without forgetEpoch, all
