--- a/internal/controller/accepts.go
+++ b/internal/controller/accepts.go
@@ -108,7 +108,7 @@
 		}
 		owner, shown := q.replica.jobDirectory.owner(submission.job.ID)
 		shard := q.replica.jobShards.find(owner)
-		if shard.unreadable {
+		if q.replica.unreadable[shard.key] {
 			q.users.askToRetry(submission.requestID)
 			continue
 		}
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -26,7 +26,7 @@
 
 	revisions     map[string]uint64 // mod revision of every live key under schema.ActivePrefix
 	tombstones    map[string]uint64 // keys that this controller deleted ahead of the watch, with the revision of the deletion
-	unreadable    map[string]bool   // keys whose latest shown document could not be decoded
+	unreadable    map[string]bool   // keys whose latest shown document could not be decoded; nothing else records that
 	watchRevision uint64
 	// completeRevision is the latest revision of a loaded page. Pages are read at different times, so an
 	// entry that moves from one document to another during the load may be on no page: a loaded replica
--- a/internal/controller/replica_jobs.go
+++ b/internal/controller/replica_jobs.go
@@ -58,7 +58,7 @@
 			return false
 		}
 	}
-	s.unreadable = false
+	delete(r.unreadable, s.key) // before the jobs that wait for the shard are located
 	r.jobsByAge = nil
 	previousIDs := r.detachJobs(s)
 	s.jobIDs, s.size, s.shardCount, s.revision = make([]string, 0, len(doc.Jobs)), len(value), doc.ShardCount, revision
--- a/internal/controller/replica_machines.go
+++ b/internal/controller/replica_machines.go
@@ -15,7 +15,7 @@
 	if !r.env.decode(s.key, value, &doc) {
 		return false
 	}
-	s.unreadable = false
+	delete(r.unreadable, s.key) // before the machines that wait for the shard are located
 	previousPartition, previousMachines := s.partition, s.machines
 	s.changedAt = r.env.now
 	if s.partition != doc.Partition {
--- a/internal/controller/replica_shards.go
+++ b/internal/controller/replica_shards.go
@@ -20,7 +20,6 @@
 	machines   []*machine   // in the order of their names
 	movedAt    units.Micros // when it was last seen to change partitions
 	changedAt  units.Micros // when any change of it was last seen
-	unreadable bool         // its latest shown document could not be decoded
 }
 
 // jobShard is a stored document of accepted jobs.
@@ -31,7 +30,6 @@
 	revision   uint64
 	size       int // of the stored value, in bytes
 	jobIDs     []string
-	unreadable bool // its latest shown document could not be decoded
 }
 
 // applyLayout applies the store's layout, once, and its format, which may be raised later.
@@ -77,9 +75,7 @@
 	if !ok || deleted {
 		return deleted
 	}
-	shard := r.machineShards.findOrAdd(n)
-	shard.unreadable = !r.applyMachineShard(shard, value, revision)
-	return !shard.unreadable
+	return r.applyMachineShard(r.machineShards.findOrAdd(n), value, revision)
 }
 
 // applyJobShardKey applies a new document of jobs, or its deletion.
@@ -88,15 +84,13 @@
 	if !ok {
 		return len(value) == 0
 	}
-	shard := r.jobShards.findOrAdd(n)
-	shard.unreadable = !r.applyJobShard(shard, value, revision)
-	return !shard.unreadable
+	return r.applyJobShard(r.jobShards.findOrAdd(n), value, revision)
 }
 
 // machineShardState returns what the last shown document of a machine shard says of the shard.
 func (r *replica) machineShardState(n int) shardState {
 	if shard := r.machineShards.find(n); shard != nil {
-		return shardState{shard.shardCount, shard.unreadable}
+		return shardState{shard.shardCount, r.unreadable[shard.key]}
 	}
 	return shardState{}
 }
@@ -104,7 +98,7 @@
 // jobShardState returns what the last shown document of a job shard says of the shard.
 func (r *replica) jobShardState(n int) shardState {
 	if shard := r.jobShards.find(n); shard != nil {
-		return shardState{shard.shardCount, shard.unreadable}
+		return shardState{shard.shardCount, r.unreadable[shard.key]}
 	}
 	return shardState{}
 }
