--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -11,7 +11,8 @@
 // Proof: a start reaches an agent in one of three ways.
 //
 //  1. From another controller, or from this one under an earlier leadership or entry. Such a start has
-//     a lower fencing token, since the token grows with each of these changes. The agent refuses
+//     a lower fencing token, since the token grows with each of these changes (leadershipManager: no
+//     process leads a partition twice under one term). The agent refuses
 //     commands whose token is lower than the highest that it has seen, and its heartbeats have shown
 //     that it has seen the present token (tokenSeen). Tasks that it started before are listed in the
 //     latest heartbeat.
@@ -39,8 +40,8 @@
 	return (m.shard.handovers+m.doc.TokenIncrements)<<termBits | p.doc.Term
 }
 
-// quiesced reports whether no command can still start a task on a machine; the head of this file has the
-// proof.
+// quiesced reports whether no command can still start a task on a machine, and the machine's latest heartbeat lists
+// all tasks that earlier commands started; the head of this file has the proof.
 func (r *replica) quiesced(m *machine) bool {
 	state := m.agent
 	return state.heardAt > 0 && state.tokenSeen == r.fencingToken(m) && state.command.settled() && !state.responses.startOpen()
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -28,7 +28,9 @@
 // and that the former leader, unless it is this process, is no longer registered. So two processes never
 // lead one partition in one term. Every write of a leader has the document's revision as a condition, and
 // fails once another process leads. A process leads once its replica shows the document, never merely
-// because it has requested leadership.
+// because it has requested leadership. It leads no two times under one term: fencing tokens hold the term, and a
+// leadership knows nothing of the commands that an earlier one has sent. A document that is shown again with a term
+// under which this process has led, for instance after it was unreadable, is first written with the next term.
 type leadershipManager struct {
 	*environment
 
@@ -43,6 +45,7 @@
 	machines   machineCommander
 
 	orphanedSince map[int]units.Micros // when each partition was first seen without a registered leader
+	lastTerms     map[int]uint64       // by partition: the latest term under which this process has led it
 }
 
 // partitionChanged updates the led partitions after the replica has received a new document of a partition.
@@ -53,15 +56,20 @@
 		l.resign(partition, own, schema.Partition{})
 		return
 	}
-	mine := l.membership.registered && newProcessID(p.doc.Member, p.doc.Incarnation) == l.membership.process()
 	switch {
-	case mine && (own == nil || own.revision != p.revision):
+	case own != nil && own.revision == p.revision && l.namesThisProcess(p):
+	case l.namesThisProcess(p) && p.doc.Term > l.lastTerms[partition]:
 		l.begin(partition, p)
-	case !mine:
+	default:
 		l.resign(partition, own, p.doc)
 	}
 }
 
+// namesThisProcess reports whether a partition's document names this process as the leader.
+func (l *leadershipManager) namesThisProcess(p *partitionDoc) bool {
+	return l.membership.registered && newProcessID(p.doc.Member, p.doc.Incarnation) == l.membership.process()
+}
+
 // resign ends this process's leadership of a partition, if own is not nil, in favour of the one in doc.
 func (l *leadershipManager) resign(partition int, own *leadership, doc schema.Partition) {
 	if own == nil {
@@ -75,6 +83,7 @@
 func (l *leadershipManager) begin(partition int, p *partitionDoc) {
 	own := &leadership{partition: partition, revision: p.revision, term: p.doc.Term, since: l.now, planning: planningState{reservations: newReservationTable()}}
 	l.partitions.lead(own)
+	l.lastTerms[partition] = own.term
 	l.log.Info("leadership acquired", append(l.freshness.logAttrs(), "partition", partition, "term", own.term, "leadership_revision", own.revision)...)
 	for _, m := range l.replica.sortedMachines() {
 		if m.commandingPartition() == partition {
@@ -90,6 +99,9 @@
 		return
 	}
 	l.removeOwnStaleRegistrations()
+	if l.raiseTerm() {
+		return
+	}
 	processes := l.replica.registeredProcesses()
 	load, orphans := l.loads(processes)
 	for _, partition := range orphans {
@@ -104,6 +116,19 @@
 	l.transferSurplus(processes, load)
 }
 
+// raiseTerm requests the next term of a partition whose document names this process, which does not lead it under
+// that document's term. It reports whether there is such a partition.
+func (l *leadershipManager) raiseTerm() bool {
+	for partition := range l.cfg.Settings.Size {
+		p := l.replica.partitions[partition]
+		if p != nil && l.partitions.led[partition] == nil && l.namesThisProcess(p) {
+			l.acquire(partition, l.membership.process())
+			return true
+		}
+	}
+	return false
+}
+
 // loads returns the load of each process, and the partitions without a registered leader. A partition whose
 // document is not readable counts as led: its leader and its term are unknown.
 func (l *leadershipManager) loads(processes []processID) (load map[processID]int, orphans []int) {
@@ -181,10 +206,7 @@
 // one to which this process transfers a partition that it leads.
 func (l *leadershipManager) acquire(partition int, leader processID) {
 	writeTag := l.commits.newWriteTag()
-	doc := schema.Partition{Term: 1, Member: leader.member(), Incarnation: leader.incarnation(), WriteTag: writeTag}
-	if p := l.replica.partitions[partition]; p != nil {
-		doc.Term = p.doc.Term + 1
-	}
+	doc := schema.Partition{Term: l.nextTerm(partition), Member: leader.member(), Incarnation: leader.incarnation(), WriteTag: writeTag}
 	txn := &kv.Txn{
 		Conditions: l.acquireConditions(partition, leader),
 		Operations: []kv.Operation{{Set: schema.PartitionKey(partition), Value: encode(doc)}},
@@ -207,6 +229,15 @@
 	})
 }
 
+// nextTerm returns the term of a partition's next leader.
+func (l *leadershipManager) nextTerm(partition int) uint64 {
+	term := l.lastTerms[partition]
+	if p := l.replica.partitions[partition]; p != nil {
+		term = max(term, p.doc.Term)
+	}
+	return term + 1
+}
+
 // acquireConditions returns the conditions of the write that changes a partition's leader.
 func (l *leadershipManager) acquireConditions(partition int, leader processID) []kv.Condition {
 	self := l.membership.process().registrationKey()
--- a/internal/controller/leadership_test.go
+++ b/internal/controller/leadership_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"frostdock.example/frostdock/internal/agent"
 	"frostdock.example/frostdock/internal/kv"
 	"frostdock.example/frostdock/internal/schema"
 	"frostdock.example/frostdock/internal/units"
@@ -71,3 +72,32 @@
 		})
 	}
 }
+
+// TestLeadershipRestored guards against a task that runs twice: a partition's document is unreadable for a moment
+// while a start is on its way, and the leader that goes on afterwards has forgotten that start. Once the document is
+// back, the entry may be released only under a fencing token that makes the agent refuse the start.
+func TestLeadershipRestored(t *testing.T) {
+	p := &startedByResponse{pushCase: newPushCase(t), t: t}
+	p.refuse = false
+	starts := directCommands(p.enterTask(schema.KeepRunning), agent.Start)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts sent, want 1", len(starts))
+	}
+	p.dropAnswers()
+	p.msgs = nil // the command is still on its way
+	key := schema.PartitionKey(0)
+	stored := p.store.keys[key].Value
+	for _, value := range []string{`{"e":-1}`, string(stored)} {
+		p.step(p.store.watchEvents(kv.Event{Set: key, Value: []byte(value), ModRevision: p.store.revision + 1}))
+	}
+	p.enterTask(schema.StopGracefully)
+	const settled = 20 * units.Second
+	p.started = p.now
+	p.runUntil(settled)
+	p.step(p.heartbeat())
+	p.runUntil(settled + planDelay)
+	p.checkEntry(false, "once the agent answers the new leadership")
+	if m := p.c.replica.machines["n-000001"]; m.agent == nil || m.agent.tokenSeen <= starts[0].Commands.FencingToken {
+		t.Errorf("released under the fencing token of the start, %d", starts[0].Commands.FencingToken)
+	}
+}
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -63,6 +63,7 @@
 		environment: env, store: c.store, replica: c.replica, membership: c.membership, freshness: c.freshness, authority: c.authority,
 		partitions: c.partitions, budget: c.budget, commits: c.commits, machines: c.agents,
 		orphanedSince: map[int]units.Micros{},
+		lastTerms:     map[int]uint64{},
 	}
 	c.gate = &formatGate{environment: env, store: c.store, replica: c.replica, authority: c.authority, budget: c.budget, commits: c.commits}
 }
