--- a/internal/controller/facts.go
+++ b/internal/controller/facts.go
@@ -73,7 +73,8 @@
 	return undecided
 }
 
-// quiesced reports whether no command can still start a task on a machine.
+// quiesced reports whether no command can still start a task on a machine, and its latest heartbeat lists all
+// tasks that earlier commands started.
 func (f *factSource) quiesced(m *machine) bool { return f.replica.quiesced(m) }
 
 // shouldRun reports whether a task that is entered on a machine should run there.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -8,8 +8,8 @@
 //     completed nor to be stopped.
 //   - A task's entry is released only when the task is certainly not active on the machine: its
 //     completion is stored, the machine's heartbeat reports under the current fencing token that the
-//     task ended, the machine's lease has expired, no command can still start the task and the heartbeat
-//     does not list it, or the machine is deleted.
+//     task ended, the machine's lease has expired, no command can still start the task and a heartbeat from
+//     after all that could does not list it, or the machine is deleted.
 //   - A job is forgotten only when its outcome is stored, or is written in the same transaction.
 //   - A final answer to a user never contradicts a stored outcome.
 //
@@ -108,7 +108,7 @@
 	Ended          bool // the latest heartbeat reports that the task has ended
 	TokenSeen      bool // a heartbeat has shown the machine's current fencing token
 	LeaseExpired   bool // the machine's lease has certainly expired
-	Quiesced       bool // no command can still arrive, so a task that the heartbeat does not list is not on the machine
+	Quiesced       bool // no command can still arrive, and the latest heartbeat lists what earlier ones started
 	MachineDeleted bool // the cloud has confirmed that the machine is deleted
 }
 
