--- a/internal/simulator/doc.go
+++ b/internal/simulator/doc.go
@@ -21,6 +21,8 @@
 //   - cloud.go, users.go, users_invalid.go: the cloud and the users
 //   - checker.go, checker_tasks.go, checker_answers.go, checker_service.go: the rules
 //   - waiting_check.go: finds jobs that wait although a machine has free capacity for them
+//   - restart_check.go: finds controllers that know the store otherwise than a new one; this check alone reads
+//     the controllers' state
 //   - scenario.go: running a scenario and collecting its problems
 //   - parser.go, parser_arguments.go, parser_steps.go, parser_expectations.go: the text format, which
 //     testdata/README.md describes
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -147,6 +147,7 @@
 // collectProblems ends the checker's run and lists the broken rules and the expectations that were not
 // met.
 func (s *Scenario) collectProblems(w *World) ([]string, error) {
+	w.checkRestart()
 	w.checker.Finish()
 	var problems []string
 	for _, violation := range w.checker.Violations {
