--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -196,14 +196,7 @@
 
 // applied adds the transaction's changes to the replica, ahead of the watch, and reports the outcome.
 func (p *pendingCommit) applied(revision uint64) {
-	for _, op := range p.txn.Operations {
-		if op.Set != "" {
-			p.committer.replica.apply(op.Set, op.Value, revision, false)
-		} else {
-			p.committer.replica.apply(op.Delete, nil, revision, true)
-			p.committer.replica.noteDeleted(op.Delete, revision)
-		}
-	}
+	p.committer.replica.applyCommitted(p.txn.Operations, revision)
 	p.done(commitResult{outcome: commitApplied, revision: revision})
 }
 
--- a/internal/controller/commit_test.go
+++ b/internal/controller/commit_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 
@@ -136,3 +137,37 @@
 		t.Errorf("outcomes %v, %d effects", outcomes, len(store.c.effects))
 	}
 }
+
+// TestLateAnswerToCommit guards against a document that a controller shows until it restarts, although it was deleted:
+// the answer to the commit that wrote it arrives after the watch has shown both. An answer that is ahead of the watch
+// counts at once.
+func TestLateAnswerToCommit(t *testing.T) {
+	const written = 21
+	cfg := &config.Config{Member: "a"}
+	cfg.Settings.Size, cfg.Settings.KVStore.ValueKB = 1, 100
+	for name, tc := range map[string]struct {
+		watched uint64 // revision that the watch has reached when the answer arrives
+		shown   bool
+	}{
+		"ahead of the watch":  {written - 1, true},
+		"behind the deletion": {written + 5, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &scriptedStore{t: t, c: newTestController(cfg)}
+			replica, key := store.c.replica, schema.CancellationPrefix+"j-000001"
+			txn := &kv.Txn{Operations: []kv.Operation{{Set: key, Value: json.RawMessage(`{}`)}}}
+			applied := false
+			store.c.commits.commit(txn, "", func(result commitResult) { applied = result.outcome == commitApplied })
+			if tc.watched > written {
+				replica.apply(key, txn.Operations[0].Value, written, false)
+				replica.apply(key, nil, tc.watched, true)
+			}
+			replica.advance(tc.watched)
+			store.answer(kv.Response{Status: kv.StatusOK, Revision: written})
+			j := replica.jobs["j-000001"]
+			if shown := j != nil && j.cancellationShown; !applied || shown != tc.shown {
+				t.Errorf("applied: %v, cancellation shown: %v, want %v", applied, shown, tc.shown)
+			}
+		})
+	}
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -108,7 +108,7 @@
 			m.after(registrationRetryDelay, m.register)
 			return
 		}
-		m.replica.apply(key, value, r.Revision, false)
+		m.replica.applyCommitted(txn.Operations, r.Revision)
 		m.registered = true
 		m.log.Info("registered", "incarnation", m.incarnation)
 		m.renew()
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// applyCommitted applies the operations of a commit of this process, ahead of the watch. If the watch has reached the
+// commit's revision, it has shown them already, and perhaps a later deletion, which leaves no revision behind that
+// would show that they are outdated. Outcomes never change.
+func (r *replica) applyCommitted(operations []kv.Operation, revision uint64) {
+	shown := revision <= r.watchRevision
+	for _, op := range operations {
+		switch {
+		case shown && !strings.HasPrefix(op.Set, schema.OutcomePrefix):
+		case op.Set != "":
+			r.apply(op.Set, op.Value, revision, false)
+		default:
+			r.apply(op.Delete, nil, revision, true)
+			r.noteDeleted(op.Delete, revision)
+		}
+	}
+}
+
 // replicator loads the replica from the store and keeps it up to date by one watch.
 //
 // It guarantees that the replica is synced only while every change that the store made after the load
--- a/internal/controller/unreadable_test.go
+++ b/internal/controller/unreadable_test.go
@@ -41,8 +41,13 @@
 }
 
 // storeValue stores a value, which may be unreadable, or deletes the key if the value is empty. It shows the
-// change to the controller.
+// change to the controller, and before it the earlier changes that the watch has not shown yet.
 func (u *unreadableTest) storeValue(key, value string) {
+	for _, item := range u.store.keys {
+		if item.ModRevision > u.controller.replica.watchRevision {
+			u.controller.replica.apply(item.Key, item.Value, item.ModRevision, false)
+		}
+	}
 	u.store.revision++
 	u.store.keys[key] = kv.KeyValue{Key: key, Value: json.RawMessage(value), ModRevision: u.store.revision}
 	if value == "" {
