--- a/internal/controller/agentstate.go
+++ b/internal/controller/agentstate.go
@@ -19,7 +19,8 @@
 	// command.
 	epoch        uint64
 	sequence     uint64
-	tokenSeen    uint64       // highest fencing token in any heartbeat
+	tokenSeen    uint64 // fencing token in the latest heartbeat; it never falls unless the agent restarts
+	restart      restartState
 	heardAt      units.Micros // when the latest heartbeat arrived; 0: none yet
 	heardSince   units.Micros // since when heartbeats arrive without interruption
 	leaseEnd     units.Micros // when the agent's lease has certainly expired unless it is renewed
@@ -54,6 +55,19 @@
 	return state
 }
 
+// restartState is what is known of restarts of the agent, which reset its epoch, sequence and fencing token. Late
+// copies of heartbeats from before a restart then seem to be the newest ones.
+type restartState struct {
+	token     uint64 // machine's fencing token at the last restart: heartbeats that show it may be from before
+	suspected bool   // a heartbeat that seemed to be the newest one showed a lower fencing token
+}
+
+// restarted records that the agent was restarted while the machine's fencing token was the given one.
+func (s *agentState) restarted(token uint64) {
+	s.restart.token = token
+	s.forgetEpoch()
+}
+
 // forgetEpoch clears the agent's epoch and the values that hold only within it; the agent was restarted.
 func (s *agentState) forgetEpoch() {
 	s.epoch, s.sequence, s.tokenSeen = 0, 0, 0
--- a/internal/controller/facts.go
+++ b/internal/controller/facts.go
@@ -49,7 +49,7 @@
 	return guard.MachineFacts{
 		Reported:       listed && m.agent.heardAt > 0,
 		Ended:          status.State == agent.Ended,
-		TokenSeen:      m.agent.tokenSeen == f.replica.fencingToken(m),
+		TokenSeen:      f.replica.showsToken(m),
 		LeaseExpired:   f.now > m.agent.leaseEnd,
 		Quiesced:       f.quiesced(m),
 		MachineDeleted: m.deleted,
--- a/internal/controller/fakestore_test.go
+++ b/internal/controller/fakestore_test.go
@@ -23,6 +23,7 @@
 	heartbeatSequence uint64
 	requestCounts     map[kv.RequestKind]int
 	agentCalls        int
+	agentTokens       map[string]uint64 // by address: highest fencing token that the agent has seen
 
 	checkConditions bool // the conditions of transactions are checked
 
@@ -188,7 +189,11 @@
 	o.heartbeatSequence++
 	r := &agent.Heartbeat{Machine: call.Address, Addr: call.Address, Type: "big", Zone: "a", Epoch: 1, Sequence: o.heartbeatSequence}
 	if call.Commands != nil {
-		r.FencingToken = call.Commands.FencingToken
+		if o.agentTokens == nil {
+			o.agentTokens = map[string]uint64{}
+		}
+		o.agentTokens[call.Address] = max(o.agentTokens[call.Address], call.Commands.FencingToken)
 	}
+	r.FencingToken = o.agentTokens[call.Address]
 	return AgentResult{CallID: call.CallID, Heartbeat: r}
 }
--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -13,9 +13,10 @@
 //  1. From another controller, or from this one under an earlier leadership or entry. Such a start has
 //     a lower fencing token, since the token grows with each of these changes (leadershipManager: no
 //     process leads a partition twice under one term). The agent refuses
-//     commands whose token is lower than the highest that it has seen, and its heartbeats have shown
-//     that it has seen the present token (tokenSeen). Tasks that it started before are listed in the
-//     latest heartbeat.
+//     commands whose token is lower than the highest that it has seen, and its latest heartbeat shows
+//     that it has seen the present token (showsToken). Tasks that it started before are listed there.
+//     After a restart of the agent the token is raised, so that a heartbeat from before the restart
+//     does not show the present one.
 //  2. In a direct command of this controller. While the machine is quiesced, none is in flight. A
 //     command that got no answer may be carried out late, as long as its token and the agent's epoch
 //     are the present ones; it stays unclear until a heartbeat shows a higher token or a later epoch.
@@ -44,7 +45,14 @@
 // all tasks that earlier commands started; the head of this file has the proof.
 func (r *replica) quiesced(m *machine) bool {
 	state := m.agent
-	return state.heardAt > 0 && state.tokenSeen == r.fencingToken(m) && state.command.settled() && !state.responses.startOpen()
+	return state.heardAt > 0 && r.showsToken(m) && state.command.settled() && !state.responses.startOpen()
+}
+
+// showsToken reports whether a machine's latest heartbeat shows the machine's fencing token, and is certainly not
+// from before the agent's last restart.
+func (r *replica) showsToken(m *machine) bool {
+	token := r.fencingToken(m)
+	return m.agent.tokenSeen == token && m.agent.restart.token < token
 }
 
 // responseLifetime is how long after the response to a heartbeat was sent an agent may still act on it,
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -74,7 +74,7 @@
 // if the heartbeat is a late duplicate.
 func (g *agentGateway) applyHeartbeat(m *machine, heartbeat *agent.Heartbeat) {
 	state, lease := m.agent, g.cfg.Settings.Lease()
-	if heartbeat.Newer(state.epoch, state.sequence) { // a late duplicate does not show that the agent is alive
+	if state.isLatest(heartbeat) { // a late duplicate does not show that the agent is alive
 		g.noteHeard(m.name)
 		newEpoch := state.epoch > 0 && heartbeat.Epoch > state.epoch
 		state.responses.heartbeatReceived(g.now, lease, newEpoch, heartbeat.FencingToken, g.replica.fencingToken(m))
--- a/internal/controller/lost_start_test.go
+++ b/internal/controller/lost_start_test.go
@@ -149,3 +149,61 @@
 	p.runUntil(responseLifetime + probePeriod + planDelay)
 	p.checkEntry(false, "after the answer to a new call")
 }
+
+// TestCopyFromBeforeRestart guards against a task that runs twice, or beyond its team's quota: its machine has
+// restarted, and a late copy of a heartbeat from before the restart, whose sequence number is higher, is taken for a
+// proof of absence.
+func TestCopyFromBeforeRestart(t *testing.T) {
+	p := newStartedByResponse(t)
+	const sequenceBefore, sequenceAfter = 100, 1
+	p.store.heartbeatSequence = sequenceBefore
+	beforeRestart := p.heartbeat()
+	p.step(beforeRestart)
+	p.restart(sequenceAfter)
+	p.tasks = []agent.TaskStatus{{Task: "j-000001/0", Attempt: 1<<28 | 1, State: agent.Running}}
+	p.step(p.heartbeat())
+	p.runUntil(p.now - p.started + planDelay)
+	p.store.heartbeatSequence = sequenceAfter + 10
+	p.step(p.heartbeat())
+
+	p.enterTask(schema.StopGracefully)
+	p.runUntil(p.now - p.started + planDelay) // the task saves its progress
+	beforeRestart.Heartbeat.Sequence++
+	p.step(beforeRestart)
+	p.runUntil(p.now - p.started + planDelay)
+	p.checkEntry(true, "after a copy of a heartbeat from before the restart")
+
+	p.tasks = nil
+	p.runUntil(p.now - p.started + overduePeriods*p.c.cfg.Settings.HeartbeatPeriod())
+	p.checkEntry(false, "once the machine itself does not list the task")
+}
+
+// overduePeriods is the number of heartbeat periods after which a machine that sends no heartbeat was asked for one.
+const overduePeriods = 2
+
+// restart restarts the agent: it has no tasks, has seen no fencing token, and counts its heartbeats from the given
+// number on. The controller learns of it by the answer to a probe.
+func (p *startedByResponse) restart(sequence uint64) {
+	p.store.heartbeatSequence = sequence
+	m := p.c.replica.machines["n-000001"]
+	p.c.after(0, func() { p.c.agents.probe(m) })
+	p.step()
+	p.step()
+	if m.agent.sequence > sequence+2 {
+		p.t.Fatalf("sequence %d: the restart was not noticed", m.agent.sequence)
+	}
+}
+
+// TestCopyClosesNoStart guards against a start that counts as settled because of a late copy of a heartbeat from
+// before the agent's restart, which shows an earlier fencing token and a higher sequence number.
+func TestCopyClosesNoStart(t *testing.T) {
+	p := newStartedByResponse(t)
+	state := p.c.replica.machines["n-000001"].agent
+	beforeRestart := p.heartbeat()
+	beforeRestart.Heartbeat.FencingToken = state.tokenSeen - 1
+	p.cut = true
+	p.step(beforeRestart)
+	if !state.responses.startOpen() || !state.restart.suspected {
+		t.Errorf("start open: %v, restart suspected: %v", state.responses.startOpen(), state.restart.suspected)
+	}
+}
--- a/internal/controller/plan_releases.go
+++ b/internal/controller/plan_releases.go
@@ -94,12 +94,14 @@
 	}
 }
 
-// mustRefence reports whether the result of a direct command to the machine is unclear under its
-// present fencing token, while heartbeats of the machine arrive.
+// mustRefence reports whether the result of a direct command to the machine is unclear under its present fencing
+// token, or the agent has restarted under it, while heartbeats of the machine arrive.
 func (p *plan) mustRefence(m *machine) bool {
-	agent := m.agent
-	return agent.command.unclear() && agent.heardAt > 0 && p.now-agent.heardAt < p.cfg.Settings.HeartbeatPeriod()*2 &&
-		agent.command.token == p.replica.fencingToken(m)
+	agent, token := m.agent, p.replica.fencingToken(m)
+	if agent.heardAt == 0 || p.now-agent.heardAt >= p.cfg.Settings.HeartbeatPeriod()*2 {
+		return false
+	}
+	return agent.command.unclear() && agent.command.token == token || agent.restart.token == token
 }
 
 // recordsCompletion reports whether a completion on the machine must be recorded in its entry now.
--- a/internal/controller/push.go
+++ b/internal/controller/push.go
@@ -94,7 +94,7 @@
 		return
 	}
 	state.probe.inFlight = true
-	g.call(m.doc.Addr, nil, &probeCall{gateway: g, machine: m, state: state, calledAt: g.now, epoch: state.epoch, sequence: state.sequence})
+	g.call(m.doc.Addr, nil, &probeCall{gateway: g, machine: m, state: state, calledAt: g.now, epoch: state.epoch, sequence: state.sequence, tokenSeen: state.tokenSeen})
 }
 
 // probeCall is a probe in flight.
@@ -104,6 +104,7 @@
 	state           *agentState // agent state when the probe was sent
 	calledAt        units.Micros
 	epoch, sequence uint64 // of the latest heartbeat when the probe was sent
+	tokenSeen       uint64 // in that heartbeat
 }
 
 // notSent probes the machine again after a delay, unless the agent is heard in the meantime.
@@ -120,6 +121,14 @@
 	})
 }
 
+// showsRestart reports whether the agent was restarted since its latest heartbeat. The answer to a probe is never a
+// late duplicate. If its sequence number is not newer, or its fencing token is lower, the agent counts from the start
+// again and has lost its tasks. Without forgetting the earlier values, all its later heartbeats would be ignored.
+func (p *probeCall) showsRestart(heartbeat *agent.Heartbeat) bool {
+	unchanged := p.state.epoch == p.epoch && p.state.sequence == p.sequence
+	return unchanged && !heartbeat.Newer(p.epoch, p.sequence) || heartbeat.FencingToken < p.tokenSeen
+}
+
 func (p *probeCall) done(heartbeat *agent.Heartbeat) {
 	g, m, state := p.gateway, p.machine, p.state
 	if m.agent != state {
@@ -132,12 +141,10 @@
 	state.probe.answered()
 	state.responses.callAnswered(p.calledAt)
 	m.invalidateOccupancy()
-	if !heartbeat.Newer(p.epoch, p.sequence) && state.epoch == p.epoch && state.sequence == p.sequence {
-		// The answer to a probe is never a late duplicate. If its sequence number is not newer, the agent
-		// was restarted: it counts from the start again and has lost its tasks. Without forgetEpoch, all
-		// its later heartbeats would be ignored.
+	state.restart.suspected = false
+	if p.showsRestart(heartbeat) {
 		g.log.Info("agent restarted", "machine", m.name)
-		state.forgetEpoch()
+		state.restarted(g.replica.fencingToken(m))
 	}
 	g.reconciler.reconcile(m, heartbeat)
 	g.push(m)
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -133,7 +133,7 @@
 	// In a zone where many machines fall silent, all machines are probed; those that do not answer are probed
 	// once more.
 	probedWithZone := state.probe.failures > 0 && f.suspectZones[m.doc.Zone].probedAt > 0
-	uncertain := state.command.unclear() || state.responses.startOverdue(f.now)
+	uncertain := state.command.unclear() || state.responses.startOverdue(f.now) || state.restart.suspected
 	if (overdue || uncertain || probedWithZone) && f.now-state.probe.askedAt > probePeriod {
 		f.probe(m)
 	}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -16,9 +16,17 @@
 	quarantine *quarantineMonitor
 }
 
-// reconcile applies a heartbeat if it is newer than the latest one that was applied.
+// isLatest reports whether a heartbeat is later than the latest one that was applied. An agent's fencing token never
+// falls: a heartbeat that shows a lower one is from before or after a restart of the agent.
+func (s *agentState) isLatest(heartbeat *agent.Heartbeat) bool {
+	return heartbeat.Newer(s.epoch, s.sequence) && heartbeat.FencingToken >= s.tokenSeen
+}
+
+// reconcile applies a heartbeat if it is later than the latest one that was applied. If only its fencing token
+// contradicts that, a probe will tell whether the agent was restarted.
 func (r *reconciler) reconcile(m *machine, heartbeat *agent.Heartbeat) {
-	if !heartbeat.Newer(m.agent.epoch, m.agent.sequence) {
+	if !m.agent.isLatest(heartbeat) {
+		m.agent.restart.suspected = m.agent.restart.suspected || heartbeat.Newer(m.agent.epoch, m.agent.sequence)
 		return
 	}
 	r.planNeeded = true
@@ -47,7 +55,7 @@
 	// The agent's lease had not expired when the agent sent the heartbeat, and its epoch may have begun
 	// only then, so the end that was computed for an earlier lease does not apply to the present one.
 	state.extendLease(r.now, r.cfg.Settings.Lease())
-	state.tokenSeen = max(state.tokenSeen, heartbeat.FencingToken)
+	state.tokenSeen = heartbeat.FencingToken
 	state.command.heartbeatReceived(heartbeat.FencingToken, heartbeat.Epoch)
 }
 
