--- a/internal/controller/stored_state.go
+++ b/internal/controller/stored_state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // StoredState lists what the controller knows of the stored documents, one sorted line for each fact, and the
@@ -52,14 +53,15 @@
 	if j.shard != nil {
 		shard = j.shard.number
 	}
-	line := fmt.Sprintf("job %s accepted %v shard %d owner %d shown %v cancelled %v", j.id, j.accepted, shard, owner, shown, j.cancellationShown)
+	var line strings.Builder
+	fmt.Fprintf(&line, "job %s accepted %v shard %d owner %d shown %v cancelled %v", j.id, j.accepted, shard, owner, shown, j.cancellationShown)
 	if j.accepted {
-		line += fmt.Sprintf(" done %q counted %d", j.done.String(), j.countedForQuota())
+		fmt.Fprintf(&line, " done %q counted %d", j.done.String(), j.countedForQuota())
 	}
 	for _, index := range slices.Sorted(maps.Keys(j.bindings)) {
 		bound := j.bindings[index]
-		line += fmt.Sprintf(" task %d on %s attempt %d stored %v earlier %d",
+		fmt.Fprintf(&line, " task %d on %s attempt %d stored %v earlier %d",
 			index, bound.machine.name, bound.attempt, j.hasEntry(index, bound), len(j.superseded[index]))
 	}
-	return line
+	return line.String()
 }
--- a/internal/simulator/restart_check_test.go
+++ b/internal/simulator/restart_check_test.go
@@ -14,7 +14,6 @@
 // TestRestartCheckCatches changes stored documents without telling the controllers, and checks that each controller
 // is then found to know something else than a new one.
 func TestRestartCheckCatches(t *testing.T) {
-	const controllers = 3
 	for name, prefix := range map[string]string{
 		"nothing":   "",
 		"machine":   schema.MachineShardPrefix,
@@ -22,19 +21,7 @@
 		"partition": schema.PartitionPrefix,
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, err := Parse(strings.NewReader("set nodes=3 seed=5\nteam red\ntype big cpus=16 mem=64 zones=a count=0\nmachines big n=2\nat 2 submit j-1 kind=service n=2\n"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			w := newWorld(&s.options, io.Discard, nil)
-			for i := range controllers {
-				w.addProcess(&config.Config{Member: fmt.Sprintf("node%d", i), Settings: w.settings}, false)
-			}
-			for range s.machines[0].count {
-				w.cloud.bootCompleted(w.cloud.create(s.machines[0].offer))
-			}
-			s.schedule(w, func(err error) { t.Fatal(err) })
-			w.run(startTime + 20*units.Second)
+			w := worldWithService(t)
 			for key := range w.store.keys {
 				if prefix != "" && strings.HasPrefix(key, prefix) {
 					delete(w.store.keys, key)
@@ -47,3 +34,29 @@
 		})
 	}
 }
+
+// worldWithService returns a region in which three controllers have started a service on two machines.
+func worldWithService(t *testing.T) *World {
+	t.Helper()
+	const controllers = 3
+	s, err := Parse(strings.NewReader(`
+set nodes=3 seed=5
+team red
+type big cpus=16 mem=64 zones=a count=0
+machines big n=2
+at 2 submit j-1 kind=service n=2
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newWorld(&s.options, io.Discard, nil)
+	for i := range controllers {
+		w.addProcess(&config.Config{Member: fmt.Sprintf("node%d", i), Settings: w.settings}, false)
+	}
+	for range s.machines[0].count {
+		w.cloud.bootCompleted(w.cloud.create(s.machines[0].offer))
+	}
+	s.schedule(w, func(err error) { t.Fatal(err) })
+	w.run(startTime + 20*units.Second)
+	return w
+}
