--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -12,11 +12,10 @@
 //
 //  1. From another controller, or from this one under an earlier leadership or entry. Such a start has
 //     a lower fencing token, since the token grows with each of these changes (leadershipManager: no
-//     process leads a partition twice under one term). The agent refuses
-//     commands whose token is lower than the highest that it has seen, and its latest heartbeat shows
-//     that it has seen the present token (showsToken). Tasks that it started before are listed there.
-//     After a restart of the agent the token is raised, so that a heartbeat from before the restart
-//     does not show the present one.
+//     process leads a partition twice under one term). The agent refuses commands whose token is lower
+//     than the highest that it has seen, and its latest heartbeat shows that it has seen the present
+//     token (showsToken). Tasks that it started before are listed there. After a restart of the agent
+//     the token is raised, so that a heartbeat from before the restart does not show the present one.
 //  2. In a direct command of this controller. While the machine is quiesced, none is in flight. A
 //     command that got no answer may be carried out late, as long as its token and the agent's epoch
 //     are the present ones; it stays unclear until a heartbeat shows a higher token or a later epoch.
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -57,7 +57,7 @@
 		return
 	}
 	switch {
-	case own != nil && own.revision == p.revision && l.namesThisProcess(p):
+	case own != nil && own.revision == p.revision && l.namesThisProcess(p): // led under this document already
 	case l.namesThisProcess(p) && p.doc.Term > l.lastTerms[partition]:
 		l.begin(partition, p)
 	default:
--- a/internal/controller/stored_state.go
+++ b/internal/controller/stored_state.go
@@ -8,9 +8,10 @@
 )
 
 // StoredState lists what the controller knows of the stored documents, one sorted line for each fact, and the
-// revision that it knows them at; 0 if its replica is not complete or one of its writes is in flight. Two controllers with the same revision list
-// the same lines: one that differs from a newly loaded controller knows something that only a restart would
-// correct. Facts that a controller reads only when it needs them, such as outcomes, are not listed.
+// revision that it knows them at; 0 if its replica is not complete or one of its writes is in flight. Two
+// controllers with the same revision list the same lines: one that differs from a newly loaded controller knows
+// something that only a restart would correct. Facts that a controller reads only when it needs them, such as
+// outcomes, are not listed.
 func (c *Controller) StoredState() (revision uint64, facts []string) {
 	r := c.replica
 	if !r.complete() || len(c.commits.keysInFlight) > 0 {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -8,8 +8,8 @@
 //     completed nor to be stopped.
 //   - A task's entry is released only when the task is certainly not active on the machine: its
 //     completion is stored, the machine's heartbeat reports under the current fencing token that the
-//     task ended, the machine's lease has expired, no command can still start the task and a heartbeat from
-//     after all that could does not list it, or the machine is deleted.
+//     task ended, the machine's lease has expired, no command can still start the task and a heartbeat that
+//     lists all that earlier commands started does not list it, or the machine is deleted.
 //   - A job is forgotten only when its outcome is stored, or is written in the same transaction.
 //   - A final answer to a user never contradicts a stored outcome.
 //
@@ -106,7 +106,7 @@
 type MachineFacts struct {
 	Reported       bool // the latest heartbeat lists the task
 	Ended          bool // the latest heartbeat reports that the task has ended
-	TokenSeen      bool // a heartbeat has shown the machine's current fencing token
+	TokenSeen      bool // the latest heartbeat shows the machine's current fencing token
 	LeaseExpired   bool // the machine's lease has certainly expired
 	Quiesced       bool // no command can still arrive, and the latest heartbeat lists what earlier ones started
 	MachineDeleted bool // the cloud has confirmed that the machine is deleted
