--- a/internal/controller/lost_start_test.go
+++ b/internal/controller/lost_start_test.go
@@ -30,16 +30,6 @@
 	return p
 }
 
-// heartbeat returns the agent's next heartbeat.
-func (p *startedByResponse) heartbeat() HeartbeatRequest {
-	p.store.heartbeatSequence++
-	token := p.c.replica.fencingToken(p.c.replica.machines["n-000001"])
-	return HeartbeatRequest{RequestID: 9, Heartbeat: agent.Heartbeat{
-		Machine: "n-000001", Addr: "n-000001", Type: "big", Zone: "a", Epoch: 1,
-		Sequence: p.store.heartbeatSequence, FencingToken: token, Tasks: p.tasks,
-	}}
-}
-
 // runUntil steps until a time after the start.
 func (p *startedByResponse) runUntil(afterStart units.Micros) {
 	for p.now < p.started+afterStart {
--- a/internal/controller/push_test.go
+++ b/internal/controller/push_test.go
@@ -49,6 +49,9 @@
 	tasks  []agent.TaskStatus // on the machine, as its agent reports
 }
 
+// heartbeatRequestID is the request ID of the agent's heartbeats.
+const heartbeatRequestID = 9
+
 func newPushCase(t *testing.T) *pushCase {
 	t.Helper()
 	c, store, _ := controllerWithForeignJob(t)
@@ -73,6 +76,16 @@
 	return effects
 }
 
+// heartbeat returns the agent's next heartbeat.
+func (p *pushCase) heartbeat() HeartbeatRequest {
+	p.store.heartbeatSequence++
+	token := p.c.replica.fencingToken(p.c.replica.machines["n-000001"])
+	return HeartbeatRequest{RequestID: heartbeatRequestID, Heartbeat: agent.Heartbeat{
+		Machine: "n-000001", Addr: "n-000001", Type: "big", Zone: "a", Epoch: 1,
+		Sequence: p.store.heartbeatSequence, FencingToken: token, Tasks: p.tasks,
+	}}
+}
+
 // enterTask shows the controller a task of j-000001 that is entered on n-000001, to run or to be stopped.
 func (p *pushCase) enterTask(mode schema.StopMode) []Effect {
 	entry := schema.Task{Job: "j-000001", Index: 0, Attempt: 1<<28 | 1, StopMode: mode}
@@ -124,23 +137,16 @@
 	p.refuse = false
 	p.tasks = []agent.TaskStatus{{Task: "j-000001/0", Attempt: 1<<28 | 1, State: agent.Running}}
 	p.enterTask(schema.KeepRunning)
-	heartbeat := func() HeartbeatRequest {
-		p.store.heartbeatSequence++
-		token := p.c.replica.fencingToken(p.c.replica.machines["n-000001"])
-		return HeartbeatRequest{RequestID: 9, Heartbeat: agent.Heartbeat{
-			Machine: "n-000001", Addr: "n-000001", Type: "big", Zone: "a", Epoch: 1, Sequence: p.store.heartbeatSequence, FencingToken: token, Tasks: p.tasks,
-		}}
-	}
 	p.step()
-	p.step(heartbeat())
+	p.step(p.heartbeat())
 	p.refuse = true
 	if stops := len(directCommands(p.enterTask(schema.StopImmediately), agent.Stop)); stops != 1 {
 		t.Fatalf("%d stops sent when the entry asked for one, want 1", stops)
 	}
 	p.step()
 	sent := false
-	for _, effect := range p.step(heartbeat()) {
-		if reply, ok := effect.(Reply); ok && reply.RequestID == 9 {
+	for _, effect := range p.step(p.heartbeat()) {
+		if reply, ok := effect.(Reply); ok && reply.RequestID == heartbeatRequestID {
 			response, _ := reply.Body.(agent.HeartbeatResponse)
 			sent = len(response.Commands) == 1 && response.Commands[0].Action == agent.Stop
 		}
