--- a/internal/controller/arrays.go
+++ b/internal/controller/arrays.go
@@ -128,7 +128,7 @@
 	types := p.catalog.types
 	for i := range types {
 		if machineType := &types[i]; machinesByType[machineType.Name] > 0 && api.TaskFits(&j.spec, machineType) {
-			capacity += machinesByType[machineType.Name] * int(machineType.CPUs/j.spec.CPUs)
+			capacity += machinesByType[machineType.Name] * wholeTasks(machineType.CPUs/j.spec.CPUs)
 		}
 	}
 	return capacity
@@ -152,7 +152,7 @@
 // placeShares places tasks of each job up to its share, and at least one.
 func (p *plan) placeShares(order []*job) {
 	for _, j := range order {
-		share := max(1, int(j.fairShareCPUs/j.spec.CPUs+roundingTolerance))
+		share := max(1, wholeTasks(j.fairShareCPUs/j.spec.CPUs+roundingTolerance))
 		p.placeUpTo(j, share-j.active())
 	}
 }
--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -13,7 +13,7 @@
 // tasks.
 func newPartitionLeader() *Controller {
 	cfg := &config.Config{Member: "a"}
-	cfg.Settings.Size, cfg.Settings.KVStore.ValueKB = 1, 100
+	cfg.Settings.Size, cfg.Settings.KVStore.ValueKB, cfg.Settings.KVStore.RPS = 1, 100, 250
 	cfg.Settings.Workers.HeartbeatS, cfg.Settings.Workers.LeaseS, cfg.Settings.Workers.CancelS = 6, 31, 56
 	c := newTestController(cfg)
 	c.now = 100 * units.Second
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"frostdock.example/frostdock/internal/api"
 	"frostdock.example/frostdock/internal/units"
 )
 
@@ -117,14 +118,20 @@
 	return left
 }
 
+// wholeTasks converts a number of tasks to an integer of at most api.MaxTasks in either direction: a ratio of amounts
+// may be beyond the range of an integer, and the language leaves such conversions to the architecture.
+func wholeTasks(tasks float64) int {
+	return int(max(-api.MaxTasks, min(tasks, api.MaxTasks)))
+}
+
 // tasksThatFit returns how many tasks of a job fit, at most limit; the result may be negative.
 func (m *freeMachine) tasksThatFit(j *job, limit int) int {
-	tasks := int(min(m.cpus/j.spec.CPUs, float64(limit)) + roundingTolerance)
+	tasks := min(wholeTasks(m.cpus/j.spec.CPUs+roundingTolerance), limit)
 	if j.spec.GPUs > 0 {
-		tasks = min(tasks, int(m.gpus/j.spec.GPUs+roundingTolerance))
+		tasks = min(tasks, wholeTasks(m.gpus/j.spec.GPUs+roundingTolerance))
 	}
 	if j.spec.MemGB > 0 {
-		tasks = min(tasks, int(m.memoryGB/j.spec.MemGB+roundingTolerance))
+		tasks = min(tasks, wholeTasks(m.memoryGB/j.spec.MemGB+roundingTolerance))
 	}
 	return tasks
 }
--- a/internal/controller/guarantees.go
+++ b/internal/controller/guarantees.go
@@ -66,7 +66,7 @@
 	if team == nil || team.QuotaCPUs <= 0 {
 		return j.spec.Tasks
 	}
-	return max(0, int((team.QuotaCPUs-usage.of(j.spec.Team).cpus)/j.spec.CPUs+roundingTolerance))
+	return max(0, wholeTasks((team.QuotaCPUs-usage.of(j.spec.Team).cpus)/j.spec.CPUs+roundingTolerance))
 }
 
 // withinGuarantee reports whether a team stays within its guarantee if its usage grows by cpus and gpus.
--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -213,3 +213,12 @@
 		t.Errorf("valid until %v, lease ends %v", o.validUntil, m.agent.leaseEnd)
 	}
 }
+
+// TestTinyTasks has a job whose tasks take so few CPUs that more of them would fit a machine than an integer can hold.
+func TestTinyTasks(t *testing.T) {
+	free := freeMachine{resources: resources{cpus: 64, gpus: 8, memoryGB: 512}}
+	j := &job{spec: schema.Job{Tasks: 7, CPUs: 1e-300, GPUs: 1e-300, MemGB: 1e-300}}
+	if got := free.tasksThatFit(j, 7); got != 7 {
+		t.Errorf("%d tasks fit, want 7", got)
+	}
+}
--- a/internal/fairshare/allocation.go
+++ b/internal/fairshare/allocation.go
@@ -76,7 +76,7 @@
 	}
 	parallel := job.MaxParallel
 	if job.Share > 0 && job.TaskSize > 0 {
-		parallel = int(job.Share / job.TaskSize)
+		parallel = int(math.Min(job.Share/job.TaskSize, float64(job.UnfinishedTasks)))
 	}
 	sharedTime := job.Age + remainingTime(job.UnfinishedTasks, parallel, job.AverageTaskTime)
 	return float64(sharedTime) / float64(isolatedTime)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"os"
 
 	"go.starlark.net/starlark"
@@ -107,7 +108,7 @@
 		if !ok {
 			return 0, fmt.Errorf("needs a number, got %s", value.Type())
 		}
-		if number < low || number > high {
+		if math.IsNaN(number) || number < low || number > high {
 			return 0, fmt.Errorf("must be from %v to %v, got %v", low, high, number)
 		}
 		return number, nil
@@ -179,7 +180,7 @@
 		return 0, withPosition(err)
 	}
 	weight, ok := starlark.AsFloat(value)
-	if !ok || weight < 0.01 || weight > 100 {
+	if !ok || math.IsNaN(weight) || weight < 0.01 || weight > 100 {
 		return 0, fmt.Errorf("weight must be a number from 0.01 to 100, got %v", value)
 	}
 	return weight, nil
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -32,6 +32,7 @@
 		"refresh_s = 'x'":                  "bad.star:1: refresh_s: needs a number",
 		"spare_share = -1":                 "must be from 0",
 		"spot = 1":                         "needs True or False",
+		"hire_most = float('nan')":         "must be from 1",
 		"def weight(a, b):\n  return 1":    "one job",
 		"def weight(j):\n  return 'x'":     "must be a number",
 		"def weight(j):\n  return j['no']": "line",
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -16,8 +16,25 @@
 	Second             = 1000 * Millisecond
 )
 
-// FromSeconds converts a wire value in seconds, rounding to the nearest microsecond.
-func FromSeconds(seconds float64) Micros { return Micros(math.Round(seconds * 1e6)) }
+// Longest is the longest duration that a conversion returns, about 73,000 years: far enough below the limit of the
+// type that sums of durations do not overflow.
+const Longest Micros = math.MaxInt64 / 4
+
+// FromSeconds converts a wire value in seconds, rounding to the nearest microsecond. Values beyond Longest in either
+// direction, infinities included, become Longest or -Longest, and NaN becomes 0: the language leaves such conversions
+// to the architecture.
+func FromSeconds(seconds float64) Micros {
+	micros := math.Round(seconds * 1e6)
+	switch {
+	case math.IsNaN(micros):
+		return 0
+	case micros >= float64(Longest):
+		return Longest
+	case micros <= -float64(Longest):
+		return -Longest
+	}
+	return Micros(micros)
+}
 
 // Seconds converts to a wire value in seconds.
 func (m Micros) Seconds() float64 { return float64(m) / 1e6 }
