--- a/internal/simulator/agent.go
+++ b/internal/simulator/agent.go
@@ -20,6 +20,7 @@
 	machineType *cloud.MachineType
 	running     bool
 
+	restarts               int // since the machine was created
 	epoch, sequence, token uint64
 	tokenRaisedAt          units.Micros
 	leaseRenewedAt         units.Micros // when the last answered heartbeat was sent
@@ -97,6 +98,7 @@
 // reboot restarts the machine immediately, without tasks and with epoch, sequence and token reset.
 func (a *fakeAgent) reboot() {
 	a.dropTasks()
+	a.restarts++
 	a.epoch, a.sequence, a.token = firstEpoch, 0, 0
 	a.leaseRenewedAt, a.changed = a.world.now, true
 }
--- a/internal/simulator/agent_commands.go
+++ b/internal/simulator/agent_commands.go
@@ -120,12 +120,13 @@
 		if worker == nil {
 			return
 		}
-		execute := func() { answer(worker.serve(&request, sentAt)) }
-		if worker.hangs() {
-			worker.delayedCommands = append(worker.delayedCommands, execute)
-			return
-		}
-		execute()
+		worker.whenRunning(func() {
+			result, executed := worker.serve(&request, sentAt)
+			answer(result)
+			if executed {
+				w.maybeRepeat(caller, machine, &request, sentAt)
+			}
+		})
 	}, func(result controller.AgentResult, ok bool) {
 		if !ok {
 			result = controller.AgentResult{}
@@ -135,15 +136,60 @@
 	})
 }
 
+// whenRunning serves a call now or, while the machine hangs, when it resumes.
+func (a *fakeAgent) whenRunning(serve func()) {
+	if a.hangs() {
+		a.delayedCommands = append(a.delayedCommands, serve)
+		return
+	}
+	serve()
+}
+
 // serve carries out direct commands and returns the machine's state. Commands of a superseded leader,
-// and those for an earlier epoch, are ignored.
-func (a *fakeAgent) serve(request *controller.AgentCall, sentAt units.Micros) controller.AgentResult {
+// and those for an earlier epoch, are ignored. executed reports whether commands were carried out.
+func (a *fakeAgent) serve(request *controller.AgentCall, sentAt units.Micros) (result controller.AgentResult, executed bool) {
 	a.checkLease()
 	commands := request.Commands
 	if commands != nil && commands.FencingToken >= a.token && commands.Epoch == a.epoch {
 		a.raiseToken(commands.FencingToken)
 		a.execute(commands.Commands, sentAt)
+		executed = true
 	}
 	heartbeat := a.heartbeat()
-	return controller.AgentResult{Heartbeat: roundTrip(&heartbeat)}
+	return controller.AgentResult{Heartbeat: roundTrip(&heartbeat)}, executed
+}
+
+const (
+	maxRepeats      = 2                     // of one direct command
+	minRepeatDelay  = 2 * units.Millisecond // after the command was carried out
+	maxRepeatLeases = 3                     // longest delay of a repeat, in leases
+)
+
+// maybeRepeat delivers direct commands that were carried out once or twice more. Nobody receives the answers. A machine
+// that was restarted meanwhile receives none: its connections are gone.
+func (w *World) maybeRepeat(caller, machine string, request *controller.AgentCall, sentAt units.Micros) {
+	if w.network.repeatRate <= 0 || w.rng.Float64() >= w.network.repeatRate {
+		return
+	}
+	worker := w.workers[machine]
+	incarnation := worker.restarts
+	for range 1 + w.rng.IntN(maxRepeats) {
+		w.after(w.repeatDelay(maxRepeatLeases*worker.lease()), func() {
+			w.deliver(caller, machine, func() {
+				if w.workers[machine] == worker && worker.restarts == incarnation {
+					worker.whenRunning(func() { worker.serve(request, sentAt) })
+				}
+			})
+		})
+	}
+}
+
+// repeatDelay draws a delay from minRepeatDelay to at most longest; each doubling of the delay is equally likely.
+func (w *World) repeatDelay(longest units.Micros) units.Micros {
+	doublings := 0
+	for delay := minRepeatDelay; 2*delay <= longest; delay *= 2 {
+		doublings++
+	}
+	delay := minRepeatDelay << w.rng.IntN(doublings)
+	return delay + units.Micros(w.rng.Int64N(int64(delay)))
 }
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -115,6 +115,17 @@
 	return nil
 }
 
+// repeatCommands delivers some direct commands again that were carried out and answered.
+type repeatCommands struct {
+	rate     float64
+	duration units.Micros
+}
+
+func (f repeatCommands) apply(w *World) error {
+	w.repeatCommands(f.rate, f.duration)
+	return nil
+}
+
 // refuseController makes the key-value store unavailable to one controller.
 type refuseController struct {
 	name     string
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -26,6 +26,7 @@
 	latency        units.Micros
 	lossRate       float64      // probability that an answer is lost; with half of it, a request arrives late
 	duplicateRate  float64      // probability that a late copy of a worker heartbeat is sent to a random controller
+	repeatRate     float64      // probability that direct commands that were carried out and answered arrive again
 	maxAnswerDelay units.Micros // maximum extra delay of an answer to a worker heartbeat; 0: none
 	partitions     []*networkPartition
 }
@@ -129,6 +130,12 @@
 	w.after(duration, func() { w.network.duplicateRate = 0 })
 }
 
+// repeatCommands delivers direct commands again, at a rate, for a duration.
+func (w *World) repeatCommands(rate float64, duration units.Micros) {
+	w.network.repeatRate = rate
+	w.after(duration, func() { w.network.repeatRate = 0 })
+}
+
 // call sends a request from one host to another. serve runs at the receiver and passes its response to
 // answer; received runs at the sender with that response, or with ok false after the timeout. Requests
 // may be lost, or delayed and served after the sender has given up.
--- a/internal/simulator/parser.go
+++ b/internal/simulator/parser.go
@@ -76,6 +76,7 @@
 	o.sockets = args.count("sockets", 2000)
 	o.lossRate = args.number("flaky", 0)
 	o.duplicateRate = args.number("copies", 0)
+	o.repeatRate = args.number("repeats", 0)
 	o.bootFailureRate = args.number("bootfail", 0)
 	o.bootFactor = args.number("bootfactor", 1)
 	return nil
--- a/internal/simulator/parser_steps.go
+++ b/internal/simulator/parser_steps.go
@@ -43,6 +43,7 @@
 	"zonecut":      faultStep(parseZonePartition),
 	"slow_answers": faultStep(parseDelayedAnswers),
 	"late_reports": faultStep(parseDuplicateHeartbeats),
+	"repeat_calls": faultStep(parseRepeatedCommands),
 
 	"refuse": faultStep(func(args *arguments, duration units.Micros) step { return refuseController{args.word(0), duration} }),
 	"outage": faultStep(func(_ *arguments, duration units.Micros) step { return storeOutage{duration} }),
@@ -117,6 +118,10 @@
 	return duplicateHeartbeats{rate: args.number("share", 0.3), duration: duration}
 }
 
+func parseRepeatedCommands(args *arguments, duration units.Micros) step {
+	return repeatCommands{rate: args.number("share", 0.3), duration: duration}
+}
+
 func parseCancelRunning(args *arguments) (step, error) {
 	return cancelRunning{count: args.count("count", 8), hang: args.duration("hang", 0)}, nil
 }
