--- a/internal/controller/acceptance.go
+++ b/internal/controller/acceptance.go
@@ -14,7 +14,7 @@
 	state := m.agent
 	heard := state.heardAt > 0 && a.now-state.heardAt < heardTimeout(a.cfg.Settings.HeartbeatPeriod())
 	return heard && state.takesNewTasks() && state.responses.lost < minLostResponses &&
-		state.tokenSeen == a.replica.fencingToken(m) && !state.command.unclear() && !a.fleet.unreachableInbound(m)
+		a.replica.tokenShown(m) && !state.command.unclear() && !a.fleet.unreachableInbound(m)
 }
 
 // foreignMachineAcceptsTasks reports whether the heartbeat of the controller that commands a machine lists
--- a/internal/controller/agentstate.go
+++ b/internal/controller/agentstate.go
@@ -32,6 +32,7 @@
 
 	responses responseState
 	command   directCommand
+	fencing   startFencing
 	probe     probe
 
 	quarantine          quarantineState
--- a/internal/controller/audit.go
+++ b/internal/controller/audit.go
@@ -38,6 +38,8 @@
 // decisionCounts counts decisions by their reasons.
 type decisionCounts struct {
 	starts   int
+	removals int // of attempts from agents
+	raises   int // of fencing tokens
 	stops    map[guard.StopReason]int
 	releases map[guard.ReleaseReason]int
 	forgets  map[guard.ForgetReason]int
@@ -53,12 +55,15 @@
 
 // empty reports whether no decision was counted.
 func (d *decisionCounts) empty() bool {
-	return d.starts+len(d.stops)+len(d.releases)+len(d.forgets)+len(d.answers) == 0
+	return d.starts+d.removals+d.raises+len(d.stops)+len(d.releases)+len(d.forgets)+len(d.answers) == 0
 }
 
 // countForgotten counts a job that may be removed from the accepted jobs.
 func (a *audit) countForgotten(reason guard.ForgetReason) { a.decisions.forgets[reason]++ }
 
+// countTokenRaise counts a raise of a machine's fencing token.
+func (a *audit) countTokenRaise() { a.decisions.raises++ }
+
 // takeDecisions returns the counts of decisions and resets them.
 func (a *audit) takeDecisions() decisionCounts {
 	taken := a.decisions
@@ -76,7 +81,8 @@
 		return
 	}
 	decisions := a.takeDecisions()
-	attrs := append(a.freshness.logAttrs(), "terms", a.partitions.terms(), "starts", decisions.starts)
+	attrs := append(a.freshness.logAttrs(), "terms", a.partitions.terms(), "starts", decisions.starts,
+		"removals", decisions.removals, "token_raises", decisions.raises)
 	attrs = append(attrs,
 		countsAttr("stops", decisions.stops), countsAttr("releases", decisions.releases),
 		countsAttr("forgets", decisions.forgets), countsAttr("answers", decisions.answers))
@@ -99,6 +105,7 @@
 	invariantRelease = "no entry released without proof"
 	invariantForget  = "no job removed without stored outcome"
 	invariantAnswer  = "no answer older than a stored outcome"
+	invariantFencing = "no attempt forgotten while a copy of its start could be carried out"
 )
 
 // reportViolation logs and counts an effect that was refused because it violates an invariant; facts are
@@ -135,6 +142,10 @@
 
 // checkCommand reports whether one command may be sent, and counts it.
 func (a *audit) checkCommand(m *machine, command agent.Command, facts guard.TaskFacts, entered bool, permissions guard.Permissions) bool {
+	if m.agent.fencing.mustRaiseFor(command) {
+		a.reportViolation(invariantFencing, "task", command.Task, "attempt", command.Attempt, "machine", m.name, "action", command.Action)
+		return false
+	}
 	switch command.Action {
 	case agent.Start:
 		refusal := facts.MayStart(permissions)
@@ -149,7 +160,8 @@
 			reason = facts.MustStop()
 		}
 		a.decisions.stops[reason]++
-	case agent.Remove: // nothing to check: the task has ended already
+	case agent.Remove:
+		a.decisions.removals++
 	}
 	return true
 }
--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -13,12 +13,16 @@
 //  1. From another controller, or from this one under an earlier leadership or entry. Such a start has
 //     a lower fencing token, since the token grows with each of these changes (leadershipManager: no
 //     process leads a partition twice under one term). The agent refuses commands whose token is lower
-//     than the highest that it has seen, and its latest heartbeat shows that it has seen the present
-//     token (showsToken). Tasks that it started before are listed there. After a restart of the agent
-//     the token is raised, so that a heartbeat from before the restart does not show the present one.
+//     than the highest that it has seen, and its latest heartbeat shows that it has seen a token of the
+//     present leadership (showsToken). Tasks that it started before are listed there. After a restart of
+//     the agent the token is raised, so that a heartbeat from before the restart does not show the
+//     required one.
 //  2. In a direct command of this controller. While the machine is quiesced, none is in flight. A
 //     command that got no answer may be carried out late, as long as its token and the agent's epoch
-//     are the present ones; it stays unclear until a heartbeat shows a higher token or a later epoch.
+//     are the present ones; it stays unclear until a heartbeat shows a higher token or a later epoch. A
+//     command that was carried out and answered may be carried out again. It has no effect on an attempt
+//     that the agent still knows, which the heartbeat lists, and the agent refuses it once it has
+//     forgotten the attempt (start_fencing.go).
 //  3. In the response to a heartbeat. An agent acts on a response for responseLifetime at most, and
 //     sends its next heartbeat only after it has received the response or stopped waiting for it. So
 //     that heartbeat lists the task if it was started; so does the answer to a call that was made after
@@ -31,13 +35,24 @@
 const termBits = 31
 
 // fencingToken returns the machine's fencing token; 0 if the machine's partition is not known. The token
-// strictly grows with every handover of the machine and every change of the leader of its partition.
+// strictly grows with every handover of the machine and every change of the leader of its partition, and never falls
+// while the machine is commanded. To other controllers all increments that the entry reserves count as used.
 func (r *replica) fencingToken(m *machine) uint64 {
 	p := r.partitions[m.shard.partition]
 	if p == nil {
 		return 0
 	}
-	return (m.shard.handovers+m.doc.TokenIncrements)<<termBits | p.doc.Term
+	increments := m.shard.handovers + m.doc.TokenIncrements
+	if m.agent != nil {
+		increments -= m.agent.fencing.reserved
+	}
+	return increments<<termBits | p.doc.Term
+}
+
+// requiredToken returns the lowest fencing token that a heartbeat must show to count as evidence: that of the
+// present leadership, or a later one that was raised because of an unclear command or a restart of the agent.
+func (r *replica) requiredToken(m *machine) uint64 {
+	return r.fencingToken(m) - m.agent.fencing.raised<<termBits
 }
 
 // quiesced reports whether no command can still start a task on a machine, and the machine's latest heartbeat lists
@@ -47,11 +62,16 @@
 	return state.heardAt > 0 && r.showsToken(m) && state.command.settled() && !state.responses.startOpen()
 }
 
-// showsToken reports whether a machine's latest heartbeat shows the machine's fencing token, and is certainly not
-// from before the agent's last restart.
+// tokenShown reports whether a machine's latest heartbeat shows a fencing token of the present leadership that counts
+// as evidence.
+func (r *replica) tokenShown(m *machine) bool {
+	return m.agent.tokenSeen >= r.requiredToken(m) && m.agent.tokenSeen <= r.fencingToken(m)
+}
+
+// showsToken reports whether a machine's latest heartbeat shows such a token, and is certainly not from before the
+// agent's last restart.
 func (r *replica) showsToken(m *machine) bool {
-	token := r.fencingToken(m)
-	return m.agent.tokenSeen == token && m.agent.restart.token < token
+	return r.tokenShown(m) && m.agent.restart.token < r.requiredToken(m)
 }
 
 // responseLifetime is how long after the response to a heartbeat was sent an agent may still act on it,
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -77,7 +77,7 @@
 	if state.isLatest(heartbeat) { // a late duplicate does not show that the agent is alive
 		g.noteHeard(m.name)
 		newEpoch := state.epoch > 0 && heartbeat.Epoch > state.epoch
-		state.responses.heartbeatReceived(g.now, lease, newEpoch, heartbeat.FencingToken, g.replica.fencingToken(m))
+		state.responses.heartbeatReceived(g.now, lease, newEpoch, heartbeat.FencingToken, g.replica.requiredToken(m))
 	}
 	g.reconciler.reconcile(m, heartbeat)
 	state.extendLease(g.now, lease)
@@ -85,7 +85,8 @@
 
 // respond answers a heartbeat with the commands for its machine.
 func (g *agentGateway) respond(m *machine, request HeartbeatRequest) {
-	commands, ok := g.audit.checkCommands(m, g.commands.commandsFor(m))
+	g.fenceUnclear(m)
+	commands, ok := g.audit.checkCommands(m, g.fencedCommands(m, g.commands.commandsFor(m), true))
 	if !ok {
 		g.refuse(request)
 		return
--- a/internal/controller/plan_commit.go
+++ b/internal/controller/plan_commit.go
@@ -88,6 +88,7 @@
 			p.replica.addSet(last.txn, document.key, document.value)
 		}
 		shard.noteEntriesBeingRemoved()
+		shard.noteReservations()
 		last.shards = append(last.shards, shard)
 	}
 	return slices.DeleteFunc(transactions, func(t *planTransaction) bool { return len(t.txn.Operations) == 0 })
--- a/internal/controller/plan_releases.go
+++ b/internal/controller/plan_releases.go
@@ -72,8 +72,7 @@
 }
 
 // stageReleases stages shards that must be written to release entries (see mustReleaseEntries), to record
-// completions (see mustRecordCompletion), or to raise a fencing token, which invalidates commands whose
-// result is unclear.
+// completions (see mustRecordCompletion), or to reserve fencing tokens (see mustReserveTokens).
 func (p *plan) stageReleases() {
 	for _, shard := range p.shards {
 		if !shard.ownShard {
@@ -83,8 +82,8 @@
 			if m.machine.agent == nil || !p.fitsShard(shard) {
 				continue
 			}
-			if p.mustRefence(m.machine) {
-				m.markRefenced()
+			if p.mustReserveTokens(m.machine) {
+				m.markNeedsTokens()
 				p.writeShard(shard)
 			}
 			if !shard.changed && (p.recordsCompletion(m) || p.mustReleaseEntries(m)) {
@@ -94,16 +93,6 @@
 	}
 }
 
-// mustRefence reports whether the result of a direct command to the machine is unclear under its present fencing
-// token, or the agent has restarted under it, while heartbeats of the machine arrive.
-func (p *plan) mustRefence(m *machine) bool {
-	agent, token := m.agent, p.replica.fencingToken(m)
-	if agent.heardAt == 0 || p.now-agent.heardAt >= p.cfg.Settings.HeartbeatPeriod()*2 {
-		return false
-	}
-	return agent.command.unclear() && agent.command.token == token || agent.restart.token == token
-}
-
 // recordsCompletion reports whether a completion on the machine must be recorded in its entry now.
 func (p *plan) recordsCompletion(m *stagedMachine) bool {
 	for i := range m.kept {
--- a/internal/controller/push.go
+++ b/internal/controller/push.go
@@ -28,18 +28,31 @@
 		g.probe(m)
 		return
 	}
-	commands, ok := g.audit.checkCommands(m, g.commands.commandsFor(m))
+	g.fenceUnclear(m)
+	commands, ok := g.audit.checkCommands(m, g.directCommandsFor(m))
 	token := g.replica.fencingToken(m)
-	nothingToSend := len(commands) == 0 && state.tokenSeen == token
+	nothingToSend := len(commands) == 0 && g.replica.tokenShown(m)
 	if !ok || nothingToSend || state.tokenSeen > token {
 		return
 	}
 	state.command.send(token, state.epoch)
+	state.fencing.noteDirectStarts(commands)
 	m.invalidateOccupancy()
 	request := &agent.CommandRequest{FencingToken: token, Epoch: state.epoch, Commands: commands}
 	g.call(m.doc.Addr, request, &pushCall{gateway: g, machine: m, state: state, calledAt: g.now})
 }
 
+// directCommandsFor returns the commands that may be sent directly to a machine now.
+func (g *agentGateway) directCommandsFor(m *machine) []agent.Command {
+	commands := g.commands.commandsFor(m)
+	token := g.replica.fencingToken(m)
+	commands = g.fencedCommands(m, commands, g.mayRaiseForPush(m, commands))
+	if g.replica.fencingToken(m) > token {
+		m.agent.fencing.raisedByPush = g.now
+	}
+	return commands
+}
+
 // pushCall is a direct command in flight.
 type pushCall struct {
 	gateway  *agentGateway
@@ -61,7 +74,7 @@
 		g.reconciler.reconcile(m, heartbeat)
 		return
 	}
-	p.state.command.unanswered() // the next write of the machine's document raises the machine's fencing token
+	p.state.command.unanswered() // the next response raises the machine's fencing token (fenceUnclear)
 	g.log.Info("direct command unanswered, fencing", "machine", m.name, "fencing_token", p.state.command.token)
 }
 
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -126,7 +126,7 @@
 	if silentFor < heartbeatPeriod*heardTenths/10 {
 		health.heard++
 		zone.heard++
-		if state.tokenSeen < f.replica.fencingToken(m) && state.heardAt > 0 {
+		if state.tokenSeen < f.replica.requiredToken(m) && state.heardAt > 0 {
 			f.agents.push(m) // a task's absence proves nothing until the agent shows the current token
 		}
 	}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -42,6 +42,7 @@
 	if state := m.agent; heartbeat.Epoch > state.epoch && state.epoch > 0 {
 		r.log.Info("agent in new epoch", "machine", m.name, "agent_epoch", heartbeat.Epoch)
 		state.runningSince = map[taskKey]runStart{}
+		state.fencing.epochBegun()
 	}
 }
 
--- a/internal/controller/replica_machines.go
+++ b/internal/controller/replica_machines.go
@@ -30,7 +30,7 @@
 			continue // the replica already shows a later state of the machine
 		}
 		m, partition := r.placeInShard(entry.Name, s, previousPartition)
-		r.applyMachine(m, entry, revision, partition != doc.Partition)
+		r.applyMachine(m, entry, entrySource{revision: revision, writeTag: doc.WriteTag, moved: partition != doc.Partition})
 	}
 	r.locateMachines(previousMachines)
 	if len(r.unlocatedMachines) > 0 {
@@ -106,21 +106,40 @@
 	r.machinesByName = nil
 }
 
-// applyMachine applies a machine's entry as of a revision; moved says that it came from another partition.
-func (r *replica) applyMachine(m *machine, entry *schema.Machine, revision uint64, moved bool) {
+// entrySource is where a machine's entry comes from.
+type entrySource struct {
+	revision uint64 // of its document
+	writeTag string // of the transaction that wrote the document
+	moved    bool   // the machine was in another partition before
+}
+
+// applyMachine applies a machine's entry.
+func (r *replica) applyMachine(m *machine, entry *schema.Machine, source entrySource) {
 	previous := m.doc
-	changed := previous.Name == "" || !slices.Equal(previous.Tasks, entry.Tasks) ||
-		previous.TokenIncrements != entry.TokenIncrements || previous.Decommissioned != entry.Decommissioned
+	tokenChanged := m.noteIncrements(entry.TokenIncrements, source.writeTag)
+	changed := previous.Name == "" || !slices.Equal(previous.Tasks, entry.Tasks) || tokenChanged ||
+		previous.Decommissioned != entry.Decommissioned
 	if changed {
 		r.unbind(m)
 		m.doc = *entry
 		m.invalidateOccupancy()
-		m.noteEntries(entrySeen{at: r.env.now, revision: revision})
+		m.noteEntries(entrySeen{at: r.env.now, revision: source.revision})
 		for _, task := range entry.Tasks {
 			r.bind(m, task)
 		}
 	}
-	r.observer.machineChanged(m, machineChange{previousTasks: previous.Tasks, entryChanged: changed, moved: moved})
+	r.observer.machineChanged(m, machineChange{previousTasks: previous.Tasks, entryChanged: changed, moved: source.moved})
+}
+
+// noteIncrements records the machine's stored token increments, and reports whether its fencing token changes or
+// commands have waited for the increments.
+func (m *machine) noteIncrements(increments uint64, writeTag string) bool {
+	change := tokenRange{from: m.doc.TokenIncrements, to: increments, writeTag: writeTag}
+	m.doc.TokenIncrements = increments
+	if change.from == change.to || m.agent == nil {
+		return change.from != change.to
+	}
+	return !m.agent.fencing.entryShown(change)
 }
 
 // bind records a task of a machine's entry with the task's job.
--- a/internal/controller/staged_machine.go
+++ b/internal/controller/staged_machine.go
@@ -19,7 +19,7 @@
 	active       int                         // tasks that may be active
 	images       []string                    // images on another controller's machine, as that controller reports
 	usable       bool                        // tasks may be placed on it
-	refence      bool                        // its fencing token is raised
+	needsTokens  bool                        // its entry must reserve fencing tokens
 	decommission bool
 }
 
@@ -74,8 +74,16 @@
 // markDecommissioned marks the machine as decommissioned; it accepts no more tasks.
 func (m *stagedMachine) markDecommissioned() { m.decommission, m.usable = true, false }
 
-// markRefenced raises the machine's fencing token, so that no earlier command can take effect.
-func (m *stagedMachine) markRefenced() { m.refence = true }
+// markNeedsTokens makes the machine's entry reserve fencing tokens, whether or not there is space to spare.
+func (m *stagedMachine) markNeedsTokens() { m.needsTokens = true }
+
+// reservesTokens reports whether the machine's entry reserves fencing tokens with this write.
+func (m *stagedMachine) reservesTokens() bool {
+	if !m.shard.ownShard || m.machine.agent == nil || m.decommission {
+		return false
+	}
+	return m.needsTokens || m.machine.agent.fencing.wantsReservation() && !m.shard.oversized && !m.shard.withoutMarks
+}
 
 // keepAll keeps all task entries as they are: nothing is known of what runs on the machine.
 func (m *stagedMachine) keepAll() { m.kept = m.machine.doc.Tasks }
@@ -117,8 +125,8 @@
 	if !m.shard.withoutMarks {
 		m.markTasks(document.Tasks)
 	}
-	if m.refence {
-		document.TokenIncrements++
+	if m.reservesTokens() {
+		document.TokenIncrements += tokenReservation
 	}
 	if m.decommission {
 		document.TokenIncrements++
--- a/internal/controller/staged_shard.go
+++ b/internal/controller/staged_shard.go
@@ -159,3 +159,12 @@
 		}
 	}
 }
+
+// noteReservations records the fencing tokens that a commit in flight reserves.
+func (s *stagedShard) noteReservations() {
+	for _, m := range s.machines {
+		if m.reservesTokens() {
+			m.machine.agent.fencing.reserve(m.machine.doc.TokenIncrements, s.writeTag)
+		}
+	}
+}
--- a/internal/schema/machine_shard.go
+++ b/internal/schema/machine_shard.go
@@ -24,7 +24,7 @@
 	Addr            string `json:"a"`
 	MachineKind     `json:"-"`
 	KindIndex       int    `json:"k"`           // index into the shard's Kinds; used only in the stored form
-	TokenIncrements uint64 `json:"h,omitempty"` // raises of the fencing token for this machine alone, besides the shard's Handovers
+	TokenIncrements uint64 `json:"h,omitempty"` // raises of the fencing token for this machine alone, used or reserved, besides the shard's Handovers
 	Decommissioned  bool   `json:"r,omitempty"` // to be deleted in the cloud: no task is placed on it
 	Tasks           Tasks  `json:"t,omitempty"`
 }
--- a/internal/simulator/random_days_test.go
+++ b/internal/simulator/random_days_test.go
@@ -52,10 +52,22 @@
 // in seconds.
 type fault func(g *scenarioGenerator, at, duration float64)
 
-// runSeeds runs the scenarios of the seeds from 1 to last. The environment variable named env may give
-// another range, as FROM-TO.
+// withRepeatedCalls has half of the direct commands arrive again in every second scenario.
+func withRepeatedCalls(generate func(seed uint64) string) func(seed uint64) string {
+	return func(seed uint64) string {
+		scenario := generate(seed)
+		if seed%2 == 0 {
+			scenario = strings.Replace(scenario, "set ", "set repeats=0.5 ", 1)
+		}
+		return scenario
+	}
+}
+
+// runSeeds runs the scenarios of the seeds from 1 to last, every second one with repeated calls. The environment
+// variable named env may give another range, as FROM-TO.
 func runSeeds(t *testing.T, generate func(seed uint64) string, env string, last int) {
 	t.Helper()
+	generate = withRepeatedCalls(generate)
 	first := 1
 	if value := os.Getenv(env); value != "" {
 		first, last = seedRange(t, value)
