--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -16,6 +16,7 @@
 
 	mu              sync.Mutex
 	removed         bool
+	restarts        int // since the machine was created
 	epoch           uint64
 	sequence        uint64
 	fencingToken    uint64
@@ -35,6 +36,7 @@
 	inboundLostUntil  time.Time // responses and commands do not reach the machine
 	outboundLostUntil time.Time // its heartbeats reach no controller
 	lateCommandRate   float64   // share of commands that are delayed
+	reclaimedAt       time.Time // when the cloud takes the machine away, as announced; zero: not announced
 }
 
 func (f *agentFaults) isHung(now time.Time) bool         { return now.Before(f.hungUntil) }
@@ -131,6 +133,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dropTasks()
+	a.restarts++
 	a.epoch, a.sequence, a.fencingToken = 1, 0, 0
 	a.leaseRenewedAt, a.changed = time.Now(), true
 }
--- a/internal/soak/agent_heartbeats.go
+++ b/internal/soak/agent_heartbeats.go
@@ -49,6 +49,10 @@
 		Machine: a.listed.Name, Addr: a.listed.Addr, Type: a.listed.Type, Zone: a.listed.Zone, Spot: a.listed.Spot,
 		Epoch: a.epoch, Sequence: a.sequence, FencingToken: a.fencingToken, Tasks: []agent.TaskStatus{},
 	}
+	if !a.faults.reclaimedAt.IsZero() {
+		left := time.Until(a.faults.reclaimedAt).Seconds()
+		heartbeat.InterruptionNoticeSeconds = &left
+	}
 	for _, task := range a.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, agent.TaskStatus{Task: task.id, Attempt: task.attempt, State: task.state, Cause: task.cause})
 	}
--- a/internal/soak/agent_http.go
+++ b/internal/soak/agent_http.go
@@ -36,7 +36,9 @@
 			ctx.SetStatusCode(http.StatusBadRequest)
 			return
 		}
-		status = a.handleCommands(request)
+		if status = a.handleCommands(request); status == http.StatusOK {
+			a.maybeRepeat(request)
+		}
 	}
 	respond(ctx, response{status, a.heartbeat()})
 }
--- a/internal/soak/agent_tasks.go
+++ b/internal/soak/agent_tasks.go
@@ -16,7 +16,8 @@
 	attempt uint64
 	state   agent.TaskState
 	cause   agent.Cause
-	dueAt   time.Time // when its image is pulled, or when it completes
+	fails   bool      // it ends with an error
+	dueAt   time.Time // when its image is pulled, or when it completes or fails
 }
 
 // isOnMachine reports whether the protocol counts the task as being on the machine.
@@ -33,6 +34,14 @@
 // minPullTime and maxPullTime bound the time to pull an image.
 const minPullTime, maxPullTime = 20 * time.Millisecond, 300 * time.Millisecond
 
+// Shares of the starts that end with an error, while faults are injected. Services fail more often, since their tasks go
+// on elsewhere until the end, so that another start of the failed attempt shows.
+const (
+	failingArrayShare   = 0.08
+	failingServiceShare = 0.4
+	maxTimeToFailure    = 500 * time.Millisecond
+)
+
 // cpuRounding is the rounding error allowed in a machine's sum of CPUs.
 const cpuRounding = 1e-9
 
@@ -44,9 +53,11 @@
 	job := a.world.users.job(task.jobID)
 	switch task.state {
 	case agent.Pulling:
-		a.beginTask(task, now, job.runTime)
+		a.beginTask(task, now, job)
 	case agent.Running:
-		if !job.facts.Service {
+		if task.fails {
+			a.endTask(task, agent.CauseError)
+		} else if !job.facts.Service {
 			a.endTask(task, agent.CauseDone)
 			a.world.checker.Completed(task.jobID, task.index)
 		}
@@ -58,13 +69,20 @@
 
 // beginTask runs a task whose image is pulled. If an earlier attempt has completed, the task finds
 // the stored result and completes immediately.
-func (a *fakeAgent) beginTask(task *agentTask, now time.Time, runTime time.Duration) {
+func (a *fakeAgent) beginTask(task *agentTask, now time.Time, job *userJob) {
 	task.state, a.changed = agent.Running, true
 	a.world.checker.TaskStarted(a.listed.Name, a.listed.Zone, a.listed.Spot, task.jobID, task.index)
 	a.world.events.add("task %s attempt %d starts on %s", task.id, task.attempt, a.listed.Name)
-	task.dueAt = now.Add(runTime)
-	if a.world.checker.IsCompleted(task.jobID, task.index) {
+	task.dueAt = now.Add(job.runTime)
+	failingShare := failingArrayShare
+	if job.facts.Service {
+		failingShare = failingServiceShare
+	}
+	switch {
+	case a.world.checker.IsCompleted(task.jobID, task.index):
 		task.dueAt = now
+	case !a.world.faultsOver.Load() && a.world.rng.chance(failingShare):
+		task.fails, task.dueAt = true, now.Add(a.world.rng.between(0, maxTimeToFailure))
 	}
 }
 
--- a/internal/soak/cloud.go
+++ b/internal/soak/cloud.go
@@ -130,6 +130,13 @@
 	c.world.events.add("machine %s deleted", name)
 }
 
+// reclaim takes a machine away, whose name is not listed any more.
+func (c *fakeCloud) reclaim(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delete(name)
+}
+
 // agents lists the agents of the machines that are up, ordered by machine name.
 func (c *fakeCloud) agents() []*fakeAgent {
 	c.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -35,6 +35,7 @@
 	{"machines reboot", (*world).rebootMachines},
 	{"the cloud is down", (*world).cloudOutage},
 	{"many jobs are cancelled", (*world).cancelManyJobs},
+	{"machines are reclaimed after a notice", (*world).reclaimMachines},
 }
 
 // during calls begin, and calls end after the duration unless the run is stopped before.
--- a/internal/soak/faults_machines.go
+++ b/internal/soak/faults_machines.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// reclaimMachines has the cloud announce that it takes some machines away, and do so after the duration.
+func (w *world) reclaimMachines(duration time.Duration) {
+	announced := w.randomAgents(2)
+	at := time.Now().Add(duration)
+	setAgentFaults(announced, func(faults *agentFaults) { faults.reclaimedAt = at })
+	w.after(duration, func() {
+		for _, agent := range announced {
+			w.cloud.reclaim(agent.listed.Name)
+		}
+	})
+}
+
 func (w *world) rebootMachines(time.Duration) {
 	for _, agent := range w.randomAgents(2) {
 		agent.reboot()
--- a/internal/soak/random.go
+++ b/internal/soak/random.go
@@ -42,6 +42,16 @@
 	return low + time.Duration(r.rng.Float64()*float64(high-low))
 }
 
+// doubledDelay draws a duration from low to at most high; each doubling of the duration is equally likely.
+func (r *lockedRand) doubledDelay(low, high time.Duration) time.Duration {
+	doublings := 0
+	for delay := low; 2*delay <= high; delay *= 2 {
+		doublings++
+	}
+	delay := low << r.intN(doublings)
+	return r.between(delay, 2*delay)
+}
+
 // shuffle puts events into a random order.
 func (r *lockedRand) shuffle(events []kv.Event) {
 	r.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -77,6 +77,7 @@
 
 // heal ends all active faults.
 func (w *world) heal() {
+	w.faultsOver.Store(true)
 	w.network.heal()
 	w.store.setOutage(false)
 	w.store.setFaults(func(faults *storeFaults) { *faults = storeFaults{} })
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -43,6 +43,8 @@
 	controllers []*controllerProcess
 
 	upgraded atomic.Bool // all controllers run the new version
+	// faultsOver says that no new faults begin.
+	faultsOver atomic.Bool
 	// duplicatePercent is the share of heartbeats that arrive a second time, late.
 	duplicatePercent atomic.Int64
 }
