--- a/internal/simulator/agent_commands.go
+++ b/internal/simulator/agent_commands.go
@@ -159,37 +159,14 @@
 	return controller.AgentResult{Heartbeat: roundTrip(&heartbeat)}, executed
 }
 
-const (
-	maxRepeats      = 2                     // of one direct command
-	minRepeatDelay  = 2 * units.Millisecond // after the command was carried out
-	maxRepeatLeases = 3                     // longest delay of a repeat, in leases
-)
-
-// maybeRepeat delivers direct commands that were carried out once or twice more. Nobody receives the answers. A machine
-// that was restarted meanwhile receives none: its connections are gone.
+// maybeRepeat delivers direct commands that were carried out once more. Nobody receives the answers. A machine that was
+// restarted meanwhile receives none: its connections are gone.
 func (w *World) maybeRepeat(caller, machine string, request *controller.AgentCall, sentAt units.Micros) {
-	if w.network.repeatRate <= 0 || w.rng.Float64() >= w.network.repeatRate {
-		return
-	}
 	worker := w.workers[machine]
-	incarnation := worker.restarts
-	for range 1 + w.rng.IntN(maxRepeats) {
-		w.after(w.repeatDelay(maxRepeatLeases*worker.lease()), func() {
-			w.deliver(caller, machine, func() {
-				if w.workers[machine] == worker && worker.restarts == incarnation {
-					worker.whenRunning(func() { worker.serve(request, sentAt) })
-				}
-			})
-		})
-	}
-}
-
-// repeatDelay draws a delay from minRepeatDelay to at most longest; each doubling of the delay is equally likely.
-func (w *World) repeatDelay(longest units.Micros) units.Micros {
-	doublings := 0
-	for delay := minRepeatDelay; 2*delay <= longest; delay *= 2 {
-		doublings++
-	}
-	delay := minRepeatDelay << w.rng.IntN(doublings)
-	return delay + units.Micros(w.rng.Int64N(int64(delay)))
+	restarts := worker.restarts
+	w.repeatLater(w.network.repeatRate, caller, machine, func() {
+		if w.workers[machine] == worker && worker.restarts == restarts {
+			worker.whenRunning(func() { worker.serve(request, sentAt) })
+		}
+	})
 }
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -94,6 +94,9 @@
 func (c *fakeCloud) call(caller string, request controller.CloudCall, done func(controller.CloudResult)) {
 	call(c.world, caller, cloudHost, cloudTimeout, func(answer func(controller.CloudResult)) {
 		answer(c.serve(&request))
+		if request.Op == controller.CloudRent || request.Op == controller.CloudDelete {
+			c.world.repeatLater(c.world.network.apiRepeatRate, caller, cloudHost, func() { c.serve(&request) })
+		}
 	}, func(result controller.CloudResult, ok bool) {
 		if !ok {
 			result = controller.CloudResult{}
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -27,6 +27,7 @@
 	lossRate       float64      // probability that an answer is lost; with half of it, a request arrives late
 	duplicateRate  float64      // probability that a late copy of a worker heartbeat is sent to a random controller
 	repeatRate     float64      // probability that direct commands that were carried out and answered arrive again
+	apiRepeatRate  float64      // the same for requests to the key-value store and the cloud
 	maxAnswerDelay units.Micros // maximum extra delay of an answer to a worker heartbeat; 0: none
 	partitions     []*networkPartition
 }
--- a/internal/simulator/parser.go
+++ b/internal/simulator/parser.go
@@ -77,6 +77,7 @@
 	o.lossRate = args.number("flaky", 0)
 	o.duplicateRate = args.number("copies", 0)
 	o.repeatRate = args.number("repeats", 0)
+	o.apiRepeatRate = args.number("apirepeats", 0)
 	o.bootFailureRate = args.number("bootfail", 0)
 	o.bootFactor = args.number("bootfactor", 1)
 	return nil
--- a/internal/simulator/random_days_test.go
+++ b/internal/simulator/random_days_test.go
@@ -52,12 +52,13 @@
 // in seconds.
 type fault func(g *scenarioGenerator, at, duration float64)
 
-// withRepeatedCalls has half of the direct commands arrive again in every second scenario.
+// withRepeatedCalls has half of the direct commands, and some requests to the key-value store and the cloud, arrive again
+// in every second scenario.
 func withRepeatedCalls(generate func(seed uint64) string) func(seed uint64) string {
 	return func(seed uint64) string {
 		scenario := generate(seed)
 		if seed%2 == 0 {
-			scenario = strings.Replace(scenario, "set ", "set repeats=0.5 ", 1)
+			scenario = strings.Replace(scenario, "set ", "set repeats=0.5 apirepeats=0.1 ", 1)
 		}
 		return scenario
 	}
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -42,8 +42,9 @@
 	historyLength int                     // number of changes that the key-value store keeps for watches
 	sockets       int                     // sockets of each controller
 
-	lossRate, duplicateRate, repeatRate float64
-	bootFailureRate, bootFactor         float64
+	lossRate, duplicateRate     float64
+	repeatRate, apiRepeatRate   float64
+	bootFailureRate, bootFactor float64
 
 	teams        []config.Team
 	machineTypes []cloud.MachineType
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -186,6 +186,18 @@
 		w.after(units.Micros(w.rng.Int64N(int64(2*s.averageDelay))), func() { s.serve(caller, request, answer) })
 	default:
 		s.serve(caller, request, answer)
+		s.maybeRepeat(caller, request)
+	}
+}
+
+// maybeRepeat serves a request that may have changed something again, later; nobody receives the answer.
+func (s *fakeStore) maybeRepeat(caller string, request *kv.Request) {
+	switch request.Kind {
+	case kv.Transact, kv.GrantLease, kv.RenewLease:
+		s.world.repeatLater(s.world.network.apiRepeatRate, caller, storeHost, func() {
+			s.serve(caller, request, func(kv.Response) {})
+		})
+	case kv.Get, kv.List, kv.Watch: // change nothing
 	}
 }
 
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -44,7 +44,7 @@
 		settings: options.controllerSettings(),
 		workers:  map[string]*fakeAgent{},
 		checker:  NewChecker(),
-		network:  network{latency: defaultLatency, lossRate: options.lossRate, duplicateRate: options.duplicateRate, repeatRate: options.repeatRate},
+		network:  network{latency: defaultLatency, lossRate: options.lossRate, duplicateRate: options.duplicateRate, repeatRate: options.repeatRate, apiRepeatRate: options.apiRepeatRate},
 	}
 	w.checker.cancelDeadline = units.FromSeconds(options.cancelSeconds)
 	for _, team := range options.teams {
