--- a/internal/controller/audit.go
+++ b/internal/controller/audit.go
@@ -1,12 +1,10 @@
 package controller
 
 import (
-	"context"
 	"log/slog"
 	"maps"
 	"slices"
 
-	"frostdock.example/frostdock/internal/agent"
 	"frostdock.example/frostdock/internal/guard"
 	"frostdock.example/frostdock/internal/kv"
 	"frostdock.example/frostdock/internal/schema"
@@ -116,140 +114,6 @@
 	a.log.Error("invariant violated, refused", append(attrs, a.freshness.logAttrs()...)...)
 }
 
-// checkCommands returns the commands that may be sent to a machine. ok is false if this controller may not
-// command the machine at all.
-func (a *audit) checkCommands(m *machine, commands []agent.Command) (allowed []agent.Command, ok bool) {
-	permissions := a.facts.permissionsOver(m)
-	if !permissions.MayCommand {
-		a.reportViolation(invariantCommand, "machine", m.name, "partition", m.shard.partition)
-		return nil, false
-	}
-	if len(commands) == 0 {
-		return commands, true
-	}
-	entries := m.entriesByAttempt()
-	for _, command := range commands {
-		entry, entered := entries[attemptKey{command.Task, command.Attempt}]
-		if a.checkCommand(m, command, a.facts.ofTask(m, entry), entered, permissions) {
-			allowed = append(allowed, command)
-		}
-	}
-	if a.log.Enabled(context.Background(), slog.LevelDebug) {
-		a.logCommands(m, allowed)
-	}
-	return allowed, true
-}
-
-// checkCommand reports whether one command may be sent, and counts it.
-func (a *audit) checkCommand(m *machine, command agent.Command, facts guard.TaskFacts, entered bool, permissions guard.Permissions) bool {
-	if m.agent.fencing.mustRaiseFor(command) {
-		a.reportViolation(invariantFencing, "task", command.Task, "attempt", command.Attempt, "machine", m.name, "action", command.Action)
-		return false
-	}
-	switch command.Action {
-	case agent.Start:
-		refusal := facts.MayStart(permissions)
-		if !entered || refusal != guard.StartAllowed {
-			a.reportViolation(invariantStart, "task", command.Task, "attempt", command.Attempt, "machine", m.name, "entered", entered, "refusal", refusal)
-			return false
-		}
-		a.decisions.starts++
-	case agent.Stop:
-		reason := guard.StopNotEntered
-		if entered {
-			reason = facts.MustStop()
-		}
-		a.decisions.stops[reason]++
-	case agent.Remove:
-		a.decisions.removals++
-	}
-	return true
-}
-
-// logCommands logs the tasks and attempts that a machine's commands name, and the proof that the commands
-// rest on.
-func (a *audit) logCommands(m *machine, commands []agent.Command) {
-	attrs := append(a.freshness.logAttrs(), "machine", m.name, "fencing_token", a.replica.fencingToken(m), "agent_epoch", m.agent.epoch)
-	for _, command := range commands {
-		attrs = append(attrs, slog.Group(string(command.Action)+" "+command.Task, "attempt", command.Attempt))
-	}
-	a.log.Debug("commands", attrs...)
-}
-
-// attemptKey identifies an attempt of a task by the names that commands use.
-type attemptKey struct {
-	task    string
-	attempt uint64
-}
-
-// entriesByAttempt returns a machine's entries, keyed as commands name them.
-func (m *machine) entriesByAttempt() map[attemptKey]schema.Task {
-	entries := make(map[attemptKey]schema.Task, len(m.doc.Tasks))
-	for _, task := range m.doc.Tasks {
-		entries[attemptKey{keyOf(task).task(), task.Attempt}] = task
-	}
-	return entries
-}
-
-// auditReleases undoes releases for which there is no proof, and counts the others.
-func (s *stagedShard) auditReleases() {
-	if !s.ownShard {
-		return
-	}
-	for _, m := range s.machines {
-		deleted := m.machine.deleted
-		if deleted || m.machine.agent != nil && m.releasesEntries() {
-			m.auditReleases()
-		}
-	}
-}
-
-// auditReleases undoes releases of one machine's entries for which there is no proof. All entries of a
-// deleted machine are released.
-func (m *stagedMachine) auditReleases() {
-	kept := m.keptKeys()
-	for _, task := range m.machine.doc.Tasks {
-		if kept[keyOf(task)] && !m.machine.deleted {
-			continue
-		}
-		if !m.shard.planner.audit.checkRelease(m.machine, task) {
-			m.keepEntry(task)
-		}
-	}
-}
-
-// checkRelease reports whether an entry may be released, and counts the release or the violation.
-func (a *audit) checkRelease(m *machine, task schema.Task) bool {
-	reason := guard.ReleaseMachineDeleted // the machine may have no agent state to check
-	if !m.deleted {
-		reason = a.facts.ofTask(m, task).MayRelease(a.facts.ofPresence(m, task))
-	}
-	if reason == guard.KeepEntry {
-		a.reportViolation(invariantRelease, "task", keyOf(task).task(), "attempt", task.Attempt, "machine", m.name)
-		return false
-	}
-	a.decisions.releases[reason]++
-	a.logRelease(m, task, reason)
-	return true
-}
-
-// logRelease logs the release of an entry with the age of the evidence that it may rest on: how long ago the
-// agent's latest heartbeat arrived, and how long ago a response with a start was sent that no newer heartbeat has
-// followed.
-func (a *audit) logRelease(m *machine, task schema.Task, reason guard.ReleaseReason) {
-	if !a.log.Enabled(context.Background(), slog.LevelDebug) {
-		return
-	}
-	attrs := []any{"task", keyOf(task).task(), "attempt", task.Attempt, "machine", m.name, "reason", reason}
-	if m.agent != nil {
-		attrs = append(attrs, "agent_epoch", m.agent.epoch, "sequence", m.agent.sequence, "heard_ago_s", (a.now - m.agent.heardAt).Seconds())
-		if startAt := m.agent.responses.startAt; startAt > 0 {
-			attrs = append(attrs, "start_ago_s", (a.now - startAt).Seconds())
-		}
-	}
-	a.log.Debug("release", attrs...)
-}
-
 // auditForgotten refuses to remove jobs whose outcome is neither stored nor written in the same
 // transaction.
 func (p *plan) auditForgotten() {
