--- a/internal/controller/staged_machine.go
+++ b/internal/controller/staged_machine.go
@@ -82,7 +82,7 @@
 	if !m.shard.ownShard || m.machine.agent == nil || m.decommission {
 		return false
 	}
-	return m.needsTokens || m.machine.agent.fencing.wantsReservation() && !m.shard.oversized && !m.shard.withoutMarks
+	return m.needsTokens || m.machine.agent.fencing.wantsReservation() && !m.shard.withoutReservations
 }
 
 // keepAll keeps all task entries as they are: nothing is known of what runs on the machine.
--- a/internal/controller/staged_shard.go
+++ b/internal/controller/staged_shard.go
@@ -17,14 +17,15 @@
 	writeTag string
 	ownShard bool // the shard belongs to the plan's own partition
 
-	changed      bool             // the document is written by this plan
-	picked       bool             // arrays may use the shard in this plan
-	splitParts   int              // documents that the shard is split into; 0: it is not split
-	transferTo   int              // partition that the shard is transferred to, or -1
-	newMachines  []schema.Machine // machines that this plan registers
-	oversized    bool             // longer than a stored value may be: nothing can be added
-	withoutMarks bool             // stops and completions are not entered, as they would make the document too long
-	bytesLeft    int              // bytes by which the document may still grow
+	changed             bool             // the document is written by this plan
+	picked              bool             // arrays may use the shard in this plan
+	splitParts          int              // documents that the shard is split into; 0: it is not split
+	transferTo          int              // partition that the shard is transferred to, or -1
+	newMachines         []schema.Machine // machines that this plan registers
+	oversized           bool             // longer than a stored value may be: nothing can be added
+	withoutReservations bool             // tokens are reserved only where they are needed, as it would make the document too long
+	withoutMarks        bool             // stops and completions are not entered, as they would make the document too long
+	bytesLeft           int              // bytes by which the document may still grow
 }
 
 func newStagedShard(planner *planner, shard *machineShard, ownShard bool, writeTag string) *stagedShard {
@@ -63,6 +64,10 @@
 	}
 	limits := &s.planner.store.limits
 	value := encode(s.document())
+	if len(value) > limits.maxValueBytes() {
+		s.withoutReservations = true
+		value = encode(s.document())
+	}
 	if len(value) > limits.maxValueBytes() && s.addsTasks() {
 		// The size estimate was too low: leave out the added tasks.
 		s.planner.log.Error("machine shard exceeds value limit", "shard", s.shard.number, "bytes", len(value))
--- a/internal/controller/staging.go
+++ b/internal/controller/staging.go
@@ -32,9 +32,6 @@
 func (p *plan) stageMachine(shard *stagedShard, machine *machine) *stagedMachine {
 	m := &stagedMachine{machine: machine, shard: shard}
 	shard.machines = append(shard.machines, m)
-	if m.reservesTokens() {
-		shard.bytesLeft -= reservationBytes
-	}
 	machineType := p.catalog.machineType(machine.doc.Type)
 	if machine.doc.Decommissioned || machineType == nil || shard.ownShard && machine.agent == nil {
 		m.keepAll()
--- a/internal/controller/start_fencing.go
+++ b/internal/controller/start_fencing.go
@@ -34,8 +34,6 @@
 	tokenReservation = 1024
 	// minReservedTokens is the number of unused raises below which the next write of the entry reserves more.
 	minReservedTokens = tokenReservation / 2
-	// reservationBytes is an upper estimate of how much longer a reservation makes a machine's entry in a document.
-	reservationBytes = 12
 	// maxReservationWait is how long a command waits for a write that is made anyway to reserve tokens.
 	maxReservationWait = 5 * units.Second
 )
@@ -112,7 +110,10 @@
 }
 
 // epochBegun forgets the direct starts of earlier epochs, which the agent refuses.
-func (f *startFencing) epochBegun() { clear(f.directStarts) }
+func (f *startFencing) epochBegun() {
+	clear(f.directStarts)
+	f.waitingSince = 0
+}
 
 // mustRaiseFor reports whether a command may make the agent forget an attempt whose start was sent directly under the
 // token in use, so that the command must be sent under a higher one.
