review: tidy the stand-ins

Cause: two exploratory programs and an unused switch of the worker stood among them. Change: they are removed; the types and settings of the two deployments have a file of their own. Measured: the stand-ins build; the cases are unchanged.

--- a/review/standins-2/leak.go
+++ b/review/standins-2/leak.go
@@ -7,21 +7,6 @@
 
 func init() { cases["leak"] = leak }
 
-func ledgerTypes() []*machineType {
-	return []*machineType{
-		{Name: "sano-4", CPUs: 4, MemoryGB: 16, LocalGB: 20, FetchGBPerS: 0.4, Rate: 0.21, MarketPrice: 0.08, BootS: 40, Yards: zones},
-		{Name: "majhaula-16", CPUs: 16, MemoryGB: 64, LocalGB: 30, FetchGBPerS: 0.6, Rate: 0.82, MarketPrice: 0.33, BootS: 15, Yards: zones},
-	}
-}
-
-// ledger sets the settings of the ledger's deployment.
-func ledger() {
-	stateRPS, stateWriteRPS, stateValueKB, stateTxnOps = 200, 40, 16, 32
-	reportS, leaseS, cancelS = 3, 42, 62
-	cloudRPS, cloudLagS = 10, 8
-	zones = []string{"butwal-mill", "kathmandu-office"}
-}
-
 // leak: a job is cancelled when some of its tasks are done and others run; the team's next job waits for its limit.
 func leak() {
 	ledger()
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -58,8 +57,6 @@
 	wait       time.Duration // it arrives after this time
 }
 
-var strictBusy = os.Getenv("STRICT") != ""
-
 // bench stands in for a machine with its worker.
 type bench struct {
 	w        *world
@@ -281,9 +278,6 @@
 	refuse := func(cause string) { p.Stage, p.Cause = "ended", cause }
 	cpus, memory := 0.0, 0.0
 	for _, other := range b.pieces {
-		if strictBusy && other.Piece == o.Piece {
-			refuse("busy")
-		}
 		if other.Stage == "ended" {
 			continue
 		}
