review: memory and sockets of the ledger's deployment in the settings of its cases

Cause: the settings of the ledger cases carried the map's machine limits. Change: they come from the deployment.

--- a/review/standins-2/types.go
+++ b/review/standins-2/types.go
@@ -21,5 +21,6 @@
 	stateRPS, stateWriteRPS, stateValueKB, stateTxnOps = 200, 40, 16, 32
 	reportS, leaseS, cancelS = 3, 42, 62
 	cloudRPS, cloudLagS = 10, 8
+	memoryMB, sockets = 451, 5000
 	zones = []string{"butwal-mill", "kathmandu-office"}
 }
