--- a/review/standins-2/checker.go
+++ b/review/standins-2/checker.go
@@ -51,7 +51,6 @@
 	cancelled map[string]time.Time // when the user was told
 	usage     map[string]float64
 	broken    []string
-	quiet     bool // starts and ends are not noted
 }
 
 func newChecker(w *world) *checker {
@@ -84,9 +83,7 @@
 }
 
 func (c *checker) launched(b *bench, o order) {
-	if !c.quiet {
-		c.w.note("%s executes launch %s pass %d", b.name, o.Piece, o.Pass)
-	}
+	c.w.note("%s executes launch %s pass %d", b.name, o.Piece, o.Pass)
 }
 
 func (c *checker) started(b *bench, task string, pass uint64) {
@@ -94,9 +91,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := c.jobs[id]
-	if !c.quiet {
-		c.w.note("%s starts %s pass %d", b.name, task, pass)
-	}
+	c.w.note("%s starts %s pass %d", b.name, task, pass)
 	c.starts[task]++
 	if other, ok := c.on[task]; ok {
 		c.breach("ran_twice: %s starts on %s while it is on %s", task, b.name, other)
@@ -122,9 +117,7 @@
 		delete(c.on, task)
 		c.usage[c.jobs[id].Crew] -= c.jobs[id].CPUs
 	}
-	if !c.quiet {
-		c.w.note("%s leaves %s", task, b.name)
-	}
+	c.w.note("%s leaves %s", task, b.name)
 }
 
 func (c *checker) completed(task string) {
--- a/review/standins-2/gaps.go
+++ b/review/standins-2/gaps.go
@@ -21,7 +21,6 @@
 		}
 		return true
 	})
-	w.check.quiet = true
 	j := array("j-000001", "equipo-cartas", 3200, 0.08, 10)
 	j.MemoryGB = 0.1
 	j.runOf = func(n int) float64 {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -73,6 +74,9 @@
 	opsMax   int
 	hook     func(node int, r *http.Request, body []byte) action // called with the lock held; may be nil
 	addrs    []string
+
+	newestFirst bool // watches answer with the newest change first, as in the page's example
+	lateWatches func(node int) time.Duration
 }
 
 func newStore(w *world) *store {
@@ -159,6 +163,9 @@
 
 func (s *store) serve(node int, rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	if late := s.lateWatches; late != nil && r.URL.Path == "/changes" {
+		time.Sleep(late(node))
+	}
 	s.mu.Lock()
 	var act action
 	if s.hook != nil {
@@ -309,6 +316,9 @@
 		if r.Context().Err() != nil {
 			return 200, nil
 		}
+		if s.newestFirst {
+			slices.Reverse(news)
+		}
 		if !waits && (len(news) > 0 || !time.Now().Before(until)) {
 			return 200, map[string]any{"ledgerRev": s.rev, "news": news}
 		}
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -125,6 +125,21 @@
 	}()
 }
 
+// answeredBy returns the node that the worker reports to.
+func (b *bench) answeredBy() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.node
+}
+
+// setSick makes the machine fail every task that it starts.
+func (b *bench) setSick(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sick = on
+	b.w.note("%s fails every task: %v", b.name, on)
+}
+
 // commanded reports whether a controller has answered the worker.
 func (b *bench) commanded() bool {
 	b.mu.Lock()
@@ -299,6 +314,9 @@
 		b.images[j.Pattern] = time.Now().Add(time.Duration(j.SizeGB / b.stock.FetchGBPerS * float64(time.Second)))
 	}
 	b.pieces[key] = p
+	if ready := b.images[j.Pattern]; b.sick && p.Stage == "pulling" && !time.Now().Before(ready) {
+		b.end(p, "error") // the image is there, and the task fails as it starts
+	}
 }
 
 // message returns the worker's report.
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -103,14 +103,20 @@
 	return listener.Addr().String()
 }
 
+// freeAddr returns a free loopback address. Its port is below those that outgoing connections get, so that none takes it
+// before the controller does.
 func freeAddr() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		fmt.Println("listen:", err)
-		os.Exit(2)
+	for range 1000 {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
+		if err == nil {
+			addr := listener.Addr().String()
+			_ = listener.Close()
+			return addr
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	fmt.Println("no free port")
+	os.Exit(2)
+	return ""
 }
 
 // node is one controller.
