--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 program=../../target/review-2/case
 [ -x "$program" ] && [ -x ../../target/frostdock ] || { echo "build first: deploy/service.toml, review/build-2.sh"; exit 2; }
-ROOT=$(cd ../.. && pwd) RECORD=$PWD/record.txt "$program" order
+ROOT=$(cd ../.. && pwd) RECORD=$PWD/record.txt exec "$program" order
