--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -106,7 +106,8 @@
 	return score
 }
 
-// place binds a task of j to a machine in this plan. The binding is withdrawn if the plan is not stored.
+// place binds a task of j to a machine in this plan. The binding is withdrawn unless the replica shows its entry when the
+// result of the plan's transaction is known (planTransaction.withdrawAdded).
 func (p *plan) place(m *stagedMachine, j *job, index int) {
 	if !j.dependency.Ready() { // checked for every caller: no job starts before its dependencies are done
 		p.log.Error("refused to place blocked job", "job", j.id)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -9,7 +9,7 @@
 // stagedMachine, jointChanges) and its count of the teams' usage; no other component writes these.
 //
 // Nothing becomes visible before it is durable: agents are sent only what a stored document says, and
-// a binding is withdrawn if it could not be stored. Each document is written whole, on the condition
+// a binding without a stored entry is withdrawn. Each document is written whole, on the condition
 // that its mod revision is the one that the replica shows, and each transaction on the condition that
 // this controller still leads the partition.
 //
--- a/internal/controller/plan_commit.go
+++ b/internal/controller/plan_commit.go
@@ -135,9 +135,10 @@
 	}
 	p.leadership.commitsInFlight--
 	p.planNeeded = true
+	t.withdrawAdded()
 	switch {
 	case result.outcome != commitApplied:
-		p.undo(t)
+		p.restoreBindings()
 		p.leadership.planning.pausedUntil = p.now + commitRetryDelay
 		if result.outcome == commitConflict {
 			p.noteConflict(result)
@@ -147,12 +148,13 @@
 	}
 }
 
-// undo reverts the changes to bindings after a transaction was not stored.
-func (p *plan) undo(t *planTransaction) {
+// withdrawAdded withdraws the bindings that the transaction's machine shards added and that no entry in the replica
+// stands behind. Also an applied transaction may leave such bindings: the replica may show a later state of the
+// machine shard, in which the entry is released already, and may never have shown the entry itself.
+func (t *planTransaction) withdrawAdded() {
 	for _, shard := range t.shards {
 		shard.withdrawAdded()
 	}
-	p.restoreBindings()
 }
 
 // noteConflict suspends planning until the replica shows the changes that made the conditions fail.
--- a/internal/controller/staged_machine.go
+++ b/internal/controller/staged_machine.go
@@ -146,8 +146,8 @@
 	}
 }
 
-// withdrawAdded removes the bindings of the added tasks whose entries the replica does not show, since
-// these were not stored.
+// withdrawAdded removes the bindings of the added tasks whose entries the replica does not show: these were not
+// stored, or have been released since.
 func (m *stagedMachine) withdrawAdded() {
 	for _, task := range m.added {
 		j := m.shard.planner.replica.jobs[task.Job]
