--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -25,7 +25,7 @@
 	observer replicaObserver
 
 	revisions     map[string]uint64 // mod revision of every live key under schema.ActivePrefix
-	tombstones    map[string]uint64 // keys that this controller deleted ahead of the watch, with the revision of the deletion
+	tombstones    map[string]uint64 // deleted keys, with the revision of the deletion, until the watch has reached it
 	unreadable    map[string]bool   // keys whose latest shown document could not be decoded; nothing else records that
 	watchRevision uint64
 	// completeRevision is the latest revision of a loaded page. Pages are read at different times, so an
@@ -125,6 +125,7 @@
 	}
 	if deleted {
 		delete(r.revisions, key)
+		r.noteDeleted(key, revision)
 	} else {
 		r.revisions[key] = revision
 	}
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"frostdock.example/frostdock/internal/config"
@@ -64,8 +66,8 @@
 	}
 }
 
-// noteDeleted records that a commit of this process deleted a key: until the watch has reached that
-// revision, it may still show the key as it was before.
+// noteDeleted records that a key was deleted: until the watch has reached that revision, the key may still be shown as
+// it was before.
 func (r *replica) noteDeleted(key string, revision uint64) {
 	if revision > r.watchRevision {
 		r.tombstones[key] = revision
@@ -84,7 +86,6 @@
 			r.apply(op.Set, op.Value, revision, false)
 		default:
 			r.apply(op.Delete, nil, revision, true)
-			r.noteDeleted(op.Delete, revision)
 		}
 	}
 }
@@ -265,8 +266,11 @@
 	}
 }
 
+// takeChanges applies the changes of an answer in the order in which the store made them: an answer may list them in any
+// order. In another order a key that was set and deleted since would come back, and observers would not see the changes
+// in between, such as an entry that was released again.
 func (w *watchCall) takeChanges(answer kv.Response) {
-	for _, event := range answer.Events {
+	for _, event := range byRevision(answer.Events) {
 		if event.Set != "" {
 			w.replica.apply(event.Set, event.Value, event.ModRevision, false)
 		} else {
@@ -277,6 +281,11 @@
 	w.freshness.releaseWaiters()
 }
 
+// byRevision returns events with the oldest first. Those of one transaction, which have the same revision, keep their order.
+func byRevision(events []kv.Event) []kv.Event {
+	return slices.SortedStableFunc(slices.Values(events), func(a, b kv.Event) int { return cmp.Compare(a.ModRevision, b.ModRevision) })
+}
+
 // delay returns how long to wait after an answer before the next request.
 func (w *watchCall) delay(answer kv.Response) units.Micros {
 	if len(answer.Events) == 0 && answer.Revision < w.store.seenRevision {
--- a/internal/simulator/agent.go
+++ b/internal/simulator/agent.go
@@ -37,7 +37,8 @@
 	hungUntil       units.Micros
 	delayedCommands []func() // commands that arrived while the machine hung
 	failsTasks      bool
-	slowdown        float64 // factor by which new tasks take longer
+	failAfter       units.Micros // how long a task runs before the machine fails it
+	slowdown        float64      // factor by which new tasks take longer
 	spotNotice      *float64
 }
 
@@ -86,9 +87,9 @@
 	}
 }
 
-// failTasks makes the machine fail all tasks for a duration.
-func (a *fakeAgent) failTasks(duration units.Micros) {
-	a.failsTasks = true
+// failTasks makes the machine fail all tasks for a duration, each after it has run for runTime.
+func (a *fakeAgent) failTasks(runTime, duration units.Micros) {
+	a.failsTasks, a.failAfter = true, runTime
 	a.world.after(duration, func() { a.failsTasks = false })
 }
 
--- a/internal/simulator/agent_tasks.go
+++ b/internal/simulator/agent_tasks.go
@@ -8,8 +8,8 @@
 	"frostdock.example/frostdock/internal/units"
 )
 
-// failAfter is how long a failing task runs.
-const failAfter = 2 * units.Second
+// brokenRunTime is how long a task of a job runs that fails everywhere.
+const brokenRunTime = 2 * units.Second
 
 // task is an attempt of a task on a machine.
 type task struct {
@@ -112,15 +112,17 @@
 	switch {
 	case a.world.checker.isCompleted(t.jobID, t.number):
 		t.endsAt = now // the result of the first run is kept: this one ends immediately
-	case a.failsTasks || job.failsEverywhere:
-		t.endsAt = now + failAfter
+	case a.failsTasks:
+		t.endsAt = now + a.failAfter
+	case job.failsEverywhere:
+		t.endsAt = now + brokenRunTime
 	default:
 		t.endsAt = now + units.FromSeconds(job.runSeconds*a.slowdown)
 	}
 }
 
-// advanceRunning ends an array task whose run time is over, and any task that has run for failAfter on a
-// machine that fails all tasks.
+// advanceRunning ends an array task whose run time is over, and any task that has run for the machine's
+// failAfter while the machine fails all tasks.
 func (a *fakeAgent) advanceRunning(t *task) {
 	now := a.world.now
 	job := a.world.users.job(t.jobID)
@@ -131,7 +133,7 @@
 			cause = agent.CauseError
 		}
 		a.endTask(t, cause)
-	case a.failsTasks && now >= t.startedAt+failAfter:
+	case a.failsTasks && now >= t.startedAt+a.failAfter:
 		a.endTask(t, agent.CauseError)
 	}
 }
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -164,6 +164,17 @@
 	return nil
 }
 
+// delayStoreAnswers delays the answers of the key-value store to a controller, whose requests it carries out without delay.
+type delayStoreAnswers struct {
+	name               string
+	maxDelay, duration units.Micros
+}
+
+func (f delayStoreAnswers) apply(w *World) error {
+	w.store.delayAnswers(f.name, f.maxDelay, f.duration)
+	return nil
+}
+
 // coalesceWatchEvents makes watches return only the newest change of each key, in random order.
 type coalesceWatchEvents struct{ duration units.Micros }
 
--- a/internal/simulator/machine_faults.go
+++ b/internal/simulator/machine_faults.go
@@ -47,10 +47,10 @@
 
 func (f hangMachine) applyTo(_ *World, worker *fakeAgent) { worker.hang(f.duration) }
 
-// failTasks makes a machine fail all tasks.
-type failTasks struct{ duration units.Micros }
+// failTasks makes a machine fail all tasks, each after it has run for some time.
+type failTasks struct{ runTime, duration units.Micros }
 
-func (f failTasks) applyTo(_ *World, worker *fakeAgent) { worker.failTasks(f.duration) }
+func (f failTasks) applyTo(_ *World, worker *fakeAgent) { worker.failTasks(f.runTime, f.duration) }
 
 // slowTasks makes new tasks on a machine take longer.
 type slowTasks struct{ factor float64 }
--- a/internal/simulator/parser.go
+++ b/internal/simulator/parser.go
@@ -26,6 +26,9 @@
 	"expect":   (*Scenario).parseExpectation,
 }
 
+// changeOrders holds the orders of the changes in an answer to a watch, by keyword.
+var changeOrders = map[string]changeOrder{"oldest": oldestFirst, "newest": newestFirst, "shuffled": shuffled}
+
 // Parse reads a scenario in the text format. An error names the line.
 func Parse(r io.Reader) (*Scenario, error) {
 	s := &Scenario{options: worldOptions{offers: map[offer]int{}}}
@@ -73,6 +76,7 @@
 	o.limits = config.KVLimits{RPS: 250, WriteRPS: args.number("writes", 25), ValueKB: args.number("value", 4), TxnOps: args.count("ops", 12)}
 	o.nextLimits = parseNextLimits(args)
 	o.historyLength = args.count("keep", 10000)
+	o.changeOrder = choice(args, "changes", "oldest", changeOrders)
 	o.sockets = args.count("sockets", 2000)
 	o.lossRate = args.number("flaky", 0)
 	o.duplicateRate = args.number("copies", 0)
--- a/internal/simulator/parser_steps.go
+++ b/internal/simulator/parser_steps.go
@@ -53,6 +53,9 @@
 	"slow_state": faultStep(func(args *arguments, duration units.Micros) step {
 		return slowStore{args.duration("by", 0.5), duration}
 	}),
+	"slow_results": faultStep(func(args *arguments, duration units.Micros) step {
+		return delayStoreAnswers{args.word(0), args.duration("by", 0.8), duration}
+	}),
 	"unreadable":    faultStep(func(args *arguments, duration units.Micros) step { return corruptShard{args.word(0), duration} }),
 	"blind":         faultStep(func(args *arguments, duration units.Micros) step { return loseWatches{args.word(0), duration} }),
 	"mixed_changes": faultStep(func(_ *arguments, duration units.Micros) step { return coalesceWatchEvents{duration} }),
@@ -63,15 +66,20 @@
 	}),
 	"odd": faultStep(func(_ *arguments, duration units.Micros) step { return invalidRequests{duration} }),
 
-	"die":    faultStep(machineFaultParser(func(*arguments, units.Micros) machineFault { return crashMachine{} })),
-	"hang":   faultStep(machineFaultParser(func(_ *arguments, duration units.Micros) machineFault { return hangMachine{duration} })),
-	"sick":   faultStep(machineFaultParser(func(_ *arguments, duration units.Micros) machineFault { return failTasks{duration} })),
+	"die":  faultStep(machineFaultParser(func(*arguments, units.Micros) machineFault { return crashMachine{} })),
+	"hang": faultStep(machineFaultParser(func(_ *arguments, duration units.Micros) machineFault { return hangMachine{duration} })),
+	"sick": faultStep(machineFaultParser(func(args *arguments, duration units.Micros) machineFault {
+		return failTasks{args.duration("after", defaultFailSeconds), duration}
+	})),
 	"slow":   faultStep(machineFaultParser(func(args *arguments, _ units.Micros) machineFault { return slowTasks{args.number("factor", 4)} })),
 	"reboot": faultStep(machineFaultParser(func(*arguments, units.Micros) machineFault { return rebootMachine{} })),
 	"take":   faultStep(machineFaultParser(func(*arguments, units.Micros) machineFault { return reclaimMachine{} })),
 	"notice": faultStep(machineFaultParser(func(_ *arguments, duration units.Micros) machineFault { return interruptSpot{duration} })),
 }
 
+// defaultFailSeconds is how long tasks run on a machine that fails them, unless the step gives another time.
+const defaultFailSeconds = 2
+
 // partitionModes holds the modes of a network partition between hosts, by keyword.
 var partitionModes = map[string]partitionMode{
 	"drop": dropMessages,
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -40,6 +40,7 @@
 	limits        config.KVLimits         // limits of the key-value store
 	nextLimits    config.KVLimitsOverride // limits that the settings announce for later
 	historyLength int                     // number of changes that the key-value store keeps for watches
+	changeOrder   changeOrder             // of the changes in the answers to watches
 	sockets       int                     // sockets of each controller
 
 	lossRate, duplicateRate     float64
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -47,7 +47,9 @@
 	watchesLostUntil map[string]units.Micros // by controller
 	lateCommitRate   float64                 // probability that a transaction gets no answer and is committed late
 	averageDelay     units.Micros            // average extra delay of a request
+	answerDelays     map[string]units.Micros // by controller: maximum extra delay of its answers, after the requests were carried out
 	coalesceUntil    units.Micros            // until then watches return only the newest change of each key, in random order
+	changeOrder      changeOrder             // of the changes in an answer to a watch
 }
 
 type storedValue struct {
@@ -77,18 +79,20 @@
 	return true
 }
 
-func newStore(w *World, limits config.KVLimits, historyLength int) *fakeStore {
+func newStore(w *World, options *worldOptions) *fakeStore {
 	s := &fakeStore{
 		world:                 w,
 		keys:                  map[string]*storedValue{},
 		leases:                map[uint64]*storeLease{},
-		historyLength:         historyLength,
+		historyLength:         options.historyLength,
+		changeOrder:           options.changeOrder,
 		txnsBeforeFormatRaise: map[*kv.Txn]bool{},
-		requestBudget:         tokenBucket{rate: limits.RPS},
+		requestBudget:         tokenBucket{rate: options.limits.RPS},
 		unavailableUntil:      map[string]units.Micros{},
 		watchesLostUntil:      map[string]units.Micros{},
+		answerDelays:          map[string]units.Micros{},
 	}
-	s.setLimits(limits)
+	s.setLimits(options.limits)
 	w.every(leaseExpiryPeriod, s.expireLeases)
 	return s
 }
@@ -138,6 +142,25 @@
 	s.world.after(duration, func() { s.averageDelay = 0 })
 }
 
+// delayAnswers delays the answers to a controller by up to maxDelay, for a duration; its requests are carried out without
+// delay.
+func (s *fakeStore) delayAnswers(caller string, maxDelay, duration units.Micros) {
+	s.answerDelays[caller] = maxDelay
+	s.world.after(duration, func() { delete(s.answerDelays, caller) })
+}
+
+// delayed returns a function that passes an answer on, under a fault later.
+func (s *fakeStore) delayed(caller string, answer func(kv.Response)) func(kv.Response) {
+	return func(response kv.Response) {
+		maxDelay := s.answerDelays[caller]
+		if maxDelay == 0 {
+			answer(response)
+			return
+		}
+		s.world.after(maxDelay/2+units.Micros(s.world.rng.Int64N(int64(maxDelay/2))), func() { answer(response) })
+	}
+}
+
 func (s *fakeStore) unavailable(caller string) bool {
 	return s.down || s.world.now < s.unavailableUntil[caller]
 }
@@ -167,7 +190,7 @@
 		timeout = units.Micros(request.WaitMillis)*units.Millisecond + watchGrace
 	}
 	call(s.world, caller, storeHost, timeout, func(answer func(kv.Response)) {
-		s.receive(caller, request, answer)
+		s.receive(caller, request, s.delayed(caller, answer))
 	}, func(response kv.Response, ok bool) {
 		if !ok {
 			response = kv.Response{}
--- a/internal/simulator/store_watch.go
+++ b/internal/simulator/store_watch.go
@@ -9,6 +9,15 @@
 	"frostdock.example/frostdock/internal/units"
 )
 
+// changeOrder is the order of the changes in an answer to a watch. The protocol states none.
+type changeOrder int
+
+const (
+	oldestFirst changeOrder = iota
+	newestFirst             // as in the example of the protocol
+	shuffled
+)
+
 // watch is a request that waits for changes under a prefix.
 type watch struct {
 	prefix string
@@ -73,11 +82,23 @@
 		}
 	}
 	if s.world.now < s.coalesceUntil {
-		changes = s.coalesced(changes)
+		return s.coalesced(changes)
 	}
+	s.reorder(changes)
 	return changes
 }
 
+// reorder puts the changes of an answer into the store's order.
+func (s *fakeStore) reorder(changes []kv.Event) {
+	switch s.changeOrder {
+	case oldestFirst:
+	case newestFirst:
+		slices.Reverse(changes)
+	case shuffled:
+		s.world.rng.Shuffle(len(changes), func(i, j int) { changes[i], changes[j] = changes[j], changes[i] })
+	}
+}
+
 // coalesced returns only the newest change of each key, in random order.
 func (s *fakeStore) coalesced(changes []kv.Event) []kv.Event {
 	var newest []kv.Event
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -50,7 +50,7 @@
 	for _, team := range options.teams {
 		w.checker.setQuota(team.Name, resources{cpus: team.QuotaCPUs, gpus: team.QuotaGPUs})
 	}
-	w.store = newStore(w, options.limits, options.historyLength)
+	w.store = newStore(w, options)
 	w.cloud = newCloud(w, options)
 	w.users = newUsers(w)
 	return w
