--- a/internal/controller/staged_machine.go
+++ b/internal/controller/staged_machine.go
@@ -149,14 +149,16 @@
 // withdrawAdded removes the bindings of the added tasks whose entries the replica does not show: these were not
 // stored, or have been released since.
 func (m *stagedMachine) withdrawAdded() {
+	replica := m.shard.planner.replica
 	for _, task := range m.added {
-		j := m.shard.planner.replica.jobs[task.Job]
+		j := replica.jobs[task.Job]
 		if j == nil {
 			continue
 		}
 		bound, ok := j.bindings[task.Index]
 		if ok && bound.machine == m.machine && bound.attempt == task.Attempt && !m.machine.hasEntry(keyOf(task)) {
 			j.removeBinding(task.Index)
+			replica.dropIfUnused(j)
 		}
 	}
 	m.added = nil
--- a/internal/controller/unbacked_bindings_test.go
+++ b/internal/controller/unbacked_bindings_test.go
@@ -124,3 +124,27 @@
 		})
 	}
 }
+
+// TestWithdrawnBindingLeavesNoRecord guards against the record of a job that is over which its controller keeps until it
+// restarts: the job left its shard while a transaction that enters one of its tasks was in flight, and the transaction
+// failed, or the entry was released before it was shown. The record of a job that is still accepted stays.
+func TestWithdrawnBindingLeavesNoRecord(t *testing.T) {
+	for name, answer := range map[string]kv.Response{
+		"not applied":          {Status: kv.StatusConflict, Revision: revisionRelease},
+		"applied and released": {Status: kv.StatusOK, Revision: revisionEntered},
+	} {
+		for _, over := range []bool{true, false} {
+			p := placeTask(t)
+			_, released := p.events()
+			p.c.replica.apply(released.Set, released.Value, released.ModRevision, false)
+			p.c.replica.advance(revisionRelease)
+			if over {
+				p.c.replica.removeJob(p.job)
+			}
+			p.store.answer(answer)
+			if kept := p.c.replica.jobs[p.job.id] != nil; kept == over {
+				t.Errorf("%s, job over: %v, record kept: %v", name, over, kept)
+			}
+		}
+	}
+}
