--- a/internal/controller/audit.go
+++ b/internal/controller/audit.go
@@ -103,6 +103,7 @@
 	invariantRelease = "no entry released without proof"
 	invariantForget  = "no job removed without stored outcome"
 	invariantAnswer  = "no answer older than a stored outcome"
+	invariantBinding = "no task bound without a stored entry or a write in flight"
 	invariantFencing = "no attempt forgotten while a copy of its start could be carried out"
 )
 
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -59,6 +59,7 @@
 		{name: "job shard splits", run: c.jobShardSplits.run},
 		{name: "heartbeat", every: heartbeatPeriod, run: c.heartbeat.send},
 		{name: "decision log", every: decisionLogPeriod, run: c.audit.logDecisions},
+		{name: "binding check", every: bindingCheckPeriod, run: c.planner.checkBindings},
 		{name: "summary", every: summaryPeriod, run: c.logSummary},
 		{name: "autoscaler", run: c.runAutoscalerWhenSynced},
 		{name: "plans", run: c.planner.planWhenNeeded},
--- a/internal/controller/plan_commit.go
+++ b/internal/controller/plan_commit.go
@@ -55,6 +55,7 @@
 	p.auditForgotten()
 	transactions := p.transactions()
 	p.leadership.commitsInFlight = len(transactions)
+	p.inFlight.begin(p.attempt, len(transactions))
 	for _, t := range transactions {
 		p.commits.markInFlight(t.txn)
 	}
@@ -134,6 +135,7 @@
 		shard.clearEntriesBeingRemoved()
 	}
 	p.leadership.commitsInFlight--
+	p.inFlight.end(p.attempt)
 	p.planNeeded = true
 	t.withdrawAdded()
 	switch {
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -24,6 +24,7 @@
 	outcomes    *outcomeReads
 	completions *completionExchange
 	estimates   estimates
+	inFlight    plansInFlight
 
 	planPeriod      period
 	transferPeriods map[int]*period // of transfers of machine shards, by partition
@@ -50,7 +51,7 @@
 	return &planner{
 		environment: c.environment, store: c.store, replica: c.replica, commits: c.commits, writes: c.budget,
 		authority: c.authority, partitions: c.partitions, agents: c.agents, catalog: c.catalog, splits: c.splits, demand: c.demand,
-		machineView: c.acceptance, facts: c.facts, audit: c.audit, outcomes: c.outcomeReads, completions: c.completions, estimates: newEstimates(),
+		machineView: c.acceptance, facts: c.facts, audit: c.audit, outcomes: c.outcomeReads, completions: c.completions, estimates: newEstimates(), inFlight: plansInFlight{},
 		transferPeriods: map[int]*period{}, movePeriods: map[int]*period{},
 	}
 }
