--- a/internal/soak/faults_store.go
+++ b/internal/soak/faults_store.go
@@ -8,7 +8,7 @@
 // lostRequestsShare is the probability that a controller's requests are lost instead of refused.
 const lostRequestsShare = 0.4
 
-// slowStoreDelay is the longest delay of a slow store's responses.
+// slowStoreDelay is the longest delay of a slow store before it serves a request, and again before its response.
 const slowStoreDelay = 600 * time.Millisecond
 
 func (w *world) outage(duration time.Duration) {
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,7 +21,9 @@
 	changed         chan struct{} // closed at the next change
 	revision        uint64
 	values          map[string]storedValue
-	log             []kv.Event // all changes, ordered by revision
+	log             []kv.Event // latest changes, ordered by revision
+	compacted       uint64     // the log lacks changes up to this revision
+	order           watchOrder // of the changes in the responses to watches
 	leases          map[uint64]*storeLease
 	lastLeaseID     uint64
 	limits          storeLimits
@@ -40,7 +39,7 @@
 	requestsLost     [controllerCount]bool // controllers whose requests are lost
 	lateCommitRate   float64               // share of transactions that are applied late, without a response
 	lostResponseRate float64               // share of transactions that are applied without a response
-	maxDelay         time.Duration         // of responses
+	maxDelay         time.Duration         // before a request is served, and again before its response
 }
 
 type storedValue struct {
@@ -60,6 +59,7 @@
 func newStore(w *world) (*fakeStore, error) {
 	s := &fakeStore{
 		world: w, changed: make(chan struct{}), values: map[string]storedValue{}, leases: map[uint64]*storeLease{}, limits: currentLimits,
+		order: watchOrderOf(w.opts),
 	}
 	for client := range controllerCount {
 		server, err := w.serve(w.address(hostStore+client, storePort), func(ctx *fasthttp.RequestCtx) { s.handle(ctx, client) })
@@ -140,13 +140,13 @@
 // set stores a value at the current revision.
 func (s *fakeStore) set(key string, value json.RawMessage, leaseID uint64) {
 	s.values[key] = storedValue{value, s.revision, leaseID}
-	s.log = append(s.log, kv.Event{Set: key, Value: value, ModRevision: s.revision})
+	s.record(kv.Event{Set: key, Value: value, ModRevision: s.revision})
 }
 
 // delete removes a value at the current revision.
 func (s *fakeStore) delete(key string) {
 	delete(s.values, key)
-	s.log = append(s.log, kv.Event{Delete: key, ModRevision: s.revision})
+	s.record(kv.Event{Delete: key, ModRevision: s.revision})
 }
 
 // notifyWatches wakes the watches.
@@ -155,30 +155,6 @@
 	s.changed = make(chan struct{})
 }
 
-// changesSince returns the latest change of each key under a prefix after a revision.
-func (s *fakeStore) changesSince(prefix string, revision uint64) []kv.Event {
-	first, _ := slices.BinarySearchFunc(s.log, revision+1, func(change kv.Event, target uint64) int {
-		return cmp.Compare(change.ModRevision, target)
-	})
-	latest := map[string]kv.Event{}
-	for _, change := range s.log[first:] {
-		if key := changedKey(change); strings.HasPrefix(key, prefix) {
-			latest[key] = change
-		}
-	}
-	changes := make([]kv.Event, 0, len(latest))
-	for _, change := range s.log[first:] {
-		last, ok := latest[changedKey(change)]
-		if ok && last.ModRevision == change.ModRevision && last.Set == change.Set {
-			changes = append(changes, change)
-		}
-	}
-	return changes
-}
-
-// changedKey returns the key of an event, which is in one of two fields while the other is empty.
-func changedKey(change kv.Event) string { return change.Set + change.Delete }
-
 // tokenBucket limits a rate, with bursts of up to one second's tokens.
 type tokenBucket struct {
 	level    float64
--- a/internal/soak/store_http.go
+++ b/internal/soak/store_http.go
@@ -48,6 +48,9 @@
 		return
 	}
 	s.serveRequest(ctx, path, client)
+	if maxDelay > 0 {
+		s.world.sleep(s.world.rng.between(0, maxDelay)) // the request was carried out; its response is late
+	}
 }
 
 // serveRequest serves a request without delay, within the limit on the request rate.
@@ -179,52 +182,3 @@
 	s.leases[s.lastLeaseID] = &storeLease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
 	return response{http.StatusOK, leaseBody{ID: s.lastLeaseID}}
 }
-
-// watchBody is the response to a watch: the changes, and the revision up to which it has them.
-type watchBody struct {
-	Revision uint64     `json:"ledgerRev"`
-	Events   []kv.Event `json:"news"`
-}
-
-// watch responds when a key has changed or the timeout in the request is over. It returns the latest
-// change of each key, in random order: the protocol promises no order.
-func (s *fakeStore) watch(ctx *fasthttp.RequestCtx, client int) {
-	query := ctx.QueryArgs()
-	prefix := string(query.Peek("under"))
-	since, err := strconv.ParseUint(string(query.Peek("since")), 10, 64)
-	if err != nil {
-		since = 0 // from the beginning
-	}
-	until := time.Now().Add(time.Duration(query.GetUintOrZero("holdMs")) * time.Millisecond)
-	for {
-		body, changed := s.eventsSince(prefix, since, client)
-		if len(body.Events) > 0 || time.Now().After(until) || s.world.isStopped() {
-			s.world.rng.shuffle(body.Events)
-			respond(ctx, response{http.StatusOK, body})
-			return
-		}
-		s.awaitChange(changed, until)
-	}
-}
-
-// eventsSince returns the changes that a controller sees now, and a channel that is closed at the next
-// change. A controller whose requests are refused or lost sees no changes.
-func (s *fakeStore) eventsSince(prefix string, since uint64, client int) (watchBody, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isUnavailable(client) || s.faults.requestsLost[client] {
-		return watchBody{Revision: since, Events: []kv.Event{}}, s.changed
-	}
-	return watchBody{Revision: s.revision, Events: s.changesSince(prefix, since)}, s.changed
-}
-
-// awaitChange waits for a change, at most until a given time or the end of the run.
-func (s *fakeStore) awaitChange(changed <-chan struct{}, until time.Time) {
-	timer := time.NewTimer(time.Until(until) + time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-s.world.ctx.Done():
-	}
-}
