--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -202,7 +202,7 @@
 func checkNothingLost(t *testing.T, c *Controller, segment schema.ProgressSegment) {
 	t.Helper()
 	for id := range segment.Jobs {
-		if j := c.replica.jobs[id]; j == nil || j.done.String() != longRanges || j.progressSegment == nil || j.storedAverageCount != 40 {
+		if j := c.replica.jobs[id]; j == nil || j.done.String() != longRanges || len(j.progressSegments) != 1 || j.storedAverageCount != 40 {
 			t.Fatalf("the progress of %s is lost", id)
 		}
 	}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -17,15 +17,13 @@
 	removedFromShard   bool      // it was accepted, and its shard has since been seen without it
 	shard              *jobShard // the shard that lists it; nil: none in the replica does
 	spec               schema.Job
-	done               schema.TaskSet   // tasks whose completion is stored
-	storedRanges       string           // done in its stored text form
-	progressSegment    *progressSegment // segment with its stored progress; nil: none is stored
-	storedAverage      units.Micros     // stored average run time of done tasks
-	storedAverageCount int              // number of tasks in storedAverage
-	cancellationShown  bool             // the replica shows its cancellation document
+	done               schema.TaskSet     // tasks whose completion is stored
+	progressSegments   []*progressSegment // segments that store parts of its progress, in the order of their keys
+	storedAverage      units.Micros       // stored average run time of done tasks
+	storedAverageCount int                // number of tasks in storedAverage
+	cancellationShown  bool               // the replica shows its cancellation document
 	partition          int
 	dependency         *dag.Node // its node in the dependency graph; nil: not in the graph
-	maxGaps            *int      // limit on the gaps in its stored progress; nil: the constant maxProgressGaps
 
 	bindings        map[int]binding   // by task number: where the task may be
 	superseded      map[int][]binding // by task number: entries of earlier attempts, see addBinding
@@ -34,9 +32,8 @@
 	recordedInEntry map[int]bool      // bindings whose task's completion is stored in the machine's entry
 
 	// Known only to this controller, and lost when its process ends.
-	unstoredCompletions   map[int]bool   // tasks known to be done, not yet stored as such
-	allDone               schema.TaskSet // done and unstoredCompletions together
-	runSum                units.Micros   // total run time of runCount tasks that the stored average does not include yet
+	unstoredCompletions   map[int]bool // tasks known to be done, not yet stored as such
+	runSum                units.Micros // total run time of runCount tasks that the stored average does not include yet
 	runCount              int
 	fairShareCPUs         float64 // in CPUs, as last allocated by package fairshare
 	failures              int     // consecutive task failures
@@ -46,8 +43,9 @@
 	retryAt               units.Micros    // no task of it is placed before this time
 	cachedObservedAverage units.Micros    // average run time, including the elapsed time of running tasks
 	observedAverageAt     units.Micros    // when cachedObservedAverage was computed
-	progressWrittenAt     units.Micros
-	waitingSince          units.Micros // since when its tasks wait without one being placed; 0: none waits
+	progressWrittenAt     units.Micros    // when the last flush of its completions was over
+	flushLeft             int             // completions that the present flush has still to store; 0: none is under way
+	waitingSince          units.Micros    // since when its tasks wait without one being placed; 0: none waits
 }
 
 // binding is a machine on which a task may be, with the task's attempt number.
@@ -109,7 +107,6 @@
 		j.unstoredCompletions = map[int]bool{}
 	}
 	j.unstoredCompletions[n], j.activeCount = true, -1
-	j.allDone = j.allDone.With(n)
 	if b, ok := j.bindings[n]; ok {
 		b.machine.invalidateOccupancy()
 	}
@@ -129,41 +126,14 @@
 	if !j.dependency.Ready() {
 		return -1
 	}
-	end := j.spec.Tasks
-	if maxGaps := j.maxProgressGaps(); max(j.done.RangeCount(), j.allDone.RangeCount()) > maxGaps {
-		// The stored progress must not become much longer, so only tasks in gaps are started, with at
-		// most maxGaps/4 tasks active. Filling gaps shortens the progress; if that were not allowed, a
-		// job with too many gaps could not go on.
-		if j.active() >= maxGaps/4 {
-			return -1
-		}
-		end = j.done.End()
-	}
-	// Skip the tasks before the first gap, which are all done: in an array of 100,000 tasks, they may be
-	// most of them.
-	for n = max(n, j.done.FirstMissing()); n < end; n++ {
-		if _, ok := j.bindings[n]; !ok && !j.isDone(n) {
+	for n = j.done.NextMissing(n); n < j.spec.Tasks; n = j.done.NextMissing(n + 1) {
+		if _, ok := j.bindings[n]; !ok && !j.unstoredCompletions[n] {
 			return n
 		}
 	}
 	return -1
 }
 
-// maxProgressGaps returns how many gaps the job's stored progress may have.
-func (j *job) maxProgressGaps() int {
-	if j.maxGaps == nil {
-		return maxProgressGaps
-	}
-	return *j.maxGaps
-}
-
-// progressGapsFor returns how many gaps a job's progress may have to fit into a stored value of valueMax
-// bytes: each gap takes two task numbers and two separators. The result is from 8 to maxProgressGaps.
-func progressGapsFor(valueMax int) int {
-	const gapBytes = 2*len("99999") + 2
-	return max(8, min(maxProgressGaps, (valueMax-2*documentOverheadBytes)/gapBytes))
-}
-
 // waiting returns how many tasks are neither done nor bound; 0 while the job waits for dependencies.
 func (j *job) waiting() int {
 	if !j.dependency.Ready() {
--- a/internal/controller/plan_commit.go
+++ b/internal/controller/plan_commit.go
@@ -167,6 +167,13 @@
 	p.outcomes.learnConflicting(conflict.failedKeys)
 }
 
+// saveRuns records that the commit stores the run times of a job's completed tasks.
+func (j *jointChanges) saveRuns(saved *job) {
+	if !slices.ContainsFunc(j.savedRuns, func(other savedRuntime) bool { return other.job == saved }) {
+		j.savedRuns = append(j.savedRuns, savedRuntime{saved, saved.runSum, saved.runCount})
+	}
+}
+
 // forgetSavedRuns deducts from the jobs' unstored run times those that the commit has stored.
 func (j *jointChanges) forgetSavedRuns() {
 	for _, saved := range j.savedRuns {
--- a/internal/controller/plan_outcomes.go
+++ b/internal/controller/plan_outcomes.go
@@ -114,18 +114,19 @@
 		p.budget.takeBytes(shard.size)
 	}
 	p.joint.removedJobs[shard][j.id] = true
-	if p.mayRemoveProgress(j) {
-		p.progress.remove(j)
+	for _, segment := range j.progressSegments {
+		if p.mayRemoveProgress(segment) {
+			p.progress.remove(j, segment)
+		}
 	}
 }
 
-// mayRemoveProgress reports whether this plan can remove the progress of a job that it removes.
-func (p *plan) mayRemoveProgress(j *job) bool {
-	segment := j.progressSegment
-	if segment == nil || p.commits.isInFlight(segment.key) || p.oversized(segment) {
+// mayRemoveProgress reports whether this plan can remove the progress of a job that it removes from a segment.
+func (p *plan) mayRemoveProgress(segment *progressSegment) bool {
+	if p.commits.isInFlight(segment.key) || p.oversized(segment) {
 		return false
 	}
-	return p.progress.segmentStaged(j) ||
+	return p.progress.isStaged(segment) ||
 		p.budget.jointLeft() > 2 && p.budget.hasBytesFor(segment.size) && p.writes.plentiful()
 }
 
@@ -145,26 +146,40 @@
 			j.progressWrittenAt = p.now
 		}
 		unstored = append(unstored, j)
-		if p.now-j.progressWrittenAt >= flushPeriod && !p.progress.segmentStaged(j) && p.budget.jointLeft() > reserved {
-			p.storeProgress(j)
+		if p.now-j.progressWrittenAt >= flushPeriod && p.budget.jointLeft() > reserved {
+			p.storeProgress(j, func(part *progressPart) bool {
+				return !p.progress.isStaged(part.segment) && p.budget.jointLeft() > reserved
+			})
 		}
 	}
 	for _, j := range unstored {
-		if p.progress.segmentStaged(j) && j.progressWrittenAt < p.now {
-			p.storeProgress(j)
+		if p.progress.anyStaged(j) {
+			p.storeProgress(j, func(part *progressPart) bool { return p.progress.isStaged(part.segment) })
 		}
 	}
 }
 
-// storeProgress stores a job's progress, if the plan has space for it.
-func (p *plan) storeProgress(j *job) {
-	done := j.done.Union(j.allDone)
-	average, samples := j.average()
-	if !p.progress.put(j, schema.JobProgress{DoneRanges: done.String(), AverageSeconds: average.Seconds(), Samples: samples}) {
+// storeProgress stores the eligible parts of a job's progress for which the plan has space. A flush is over when as many
+// completions are stored as were not stored when it began; until then the next plans go on with it.
+func (p *plan) storeProgress(j *job, eligible func(part *progressPart) bool) {
+	staged, total := 0, 0
+	for _, part := range p.partsToStore(j) {
+		total += part.unstored.Len()
+		if !p.progress.alreadyStored(j, &part) && eligible(&part) {
+			staged += p.progress.storePart(j, &part)
+		}
+	}
+	if staged == 0 {
 		return
 	}
-	j.progressWrittenAt = p.now
-	p.joint.savedRuns = append(p.joint.savedRuns, savedRuntime{j, j.runSum, j.runCount})
+	p.joint.saveRuns(j)
+	if j.flushLeft == 0 {
+		j.flushLeft = total
+	}
+	j.flushLeft = max(0, min(total, j.flushLeft)-staged)
+	if j.flushLeft == 0 {
+		j.progressWrittenAt = p.now
+	}
 }
 
 // anyWaiting reports whether tasks of the jobs wait for capacity. Progress is stored less often then:
--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -73,7 +73,7 @@
 	c, p := newTestPlan(t)
 	j := acceptJob(c, schema.Job{ID: "j-000001", Tasks: 100})
 	short := schema.JobProgress{DoneRanges: "0-3", Samples: 4}
-	if !p.progress.put(j, short) || len(p.progress.changedKeys()) != 1 {
+	if !p.progress.put(j, short, nil) || len(p.progress.changedKeys()) != 1 {
 		t.Fatalf("first progress is in %v", p.progress.changedKeys())
 	}
 	key := p.progress.changedKeys()[0]
@@ -84,19 +84,20 @@
 		t.Errorf("%d joint changes are left of 12", p.budget.jointChanges)
 	}
 	longer := schema.JobProgress{DoneRanges: "0-3,9", Samples: 5}
-	if !p.progress.put(j, longer) || p.progress.document(key).Jobs[j.id] != longer || p.budget.jointChanges != 11 {
+	j.progressSegments = []*progressSegment{{key: key, size: 90, jobs: map[string]schema.JobProgress{j.id: short}}}
+	if !p.progress.put(j, longer, j.progressSegments[0]) || p.progress.document(key).Jobs[j.id] != longer || p.budget.jointChanges != 11 {
 		t.Error("newer progress of the same job is not written in its place")
 	}
 	tooLong := schema.JobProgress{DoneRanges: strings.Repeat("1,", c.store.limits.maxValueBytes())}
-	if p.progress.put(j, tooLong) || p.progress.document(key).Jobs[j.id] != longer {
+	if p.progress.put(j, tooLong, j.progressSegments[0]) || p.progress.document(key).Jobs[j.id] != longer {
 		t.Error("progress that makes the segment too long is written")
 	}
 
 	full := &progressSegment{key: schema.ProgressKey(0, 7), size: c.store.limits.maxValueBytes() - 20, jobs: map[string]schema.JobProgress{"j-000002": short}}
 	c.replica.progressSegments[full.key] = full
 	other := acceptJob(c, schema.Job{ID: "j-000002", Tasks: 100})
-	other.progressSegment = full
-	if !p.progress.put(other, longer) || p.progress.document(key).Jobs[other.id] != longer {
+	other.progressSegments = []*progressSegment{full}
+	if !p.progress.put(other, longer, full) || p.progress.document(key).Jobs[other.id] != longer {
 		t.Error("progress does not leave a full segment for one that is written anyway")
 	}
 	if _, left := p.progress.document(full.key).Jobs[other.id]; left {
@@ -105,8 +106,7 @@
 
 	p.budget.jointChanges = 0
 	third := acceptJob(c, schema.Job{ID: "j-000003", Tasks: 100})
-	third.progressSegment = &progressSegment{key: schema.ProgressKey(0, 8), jobs: map[string]schema.JobProgress{}}
-	if p.progress.put(third, short) {
+	if p.progress.put(third, short, &progressSegment{key: schema.ProgressKey(0, 8), jobs: map[string]schema.JobProgress{}}) {
 		t.Error("a segment is written without a change left for it")
 	}
 }
@@ -189,7 +189,7 @@
 	c, p := newTestPlan(t)
 	m := &machine{name: "n-000001", shard: c.replica.machineShards.find(0)}
 	stored := acceptJob(c, schema.Job{ID: "j-000001", Team: "red", Tasks: 4, CPUs: 2, MemGB: 1})
-	stored.done = stored.done.With(0)
+	stored.done = schema.NewTaskSet([]int{0})
 	m.doc.Tasks = schema.Tasks{
 		{Job: stored.id, Index: 0, Attempt: 1},                // its completion is stored
 		{Job: stored.id, Index: 1, Attempt: 1},                // may be active
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -8,22 +8,24 @@
 	"frostdock.example/frostdock/internal/schema"
 )
 
-// maxProgressGaps is how many gaps the stored progress of a job may have, unless the maximum value size
-// permits fewer (progressGapsFor).
-const maxProgressGaps = 200
-
 // jobProgressBytes is an upper estimate of the stored size of a job's progress without its id and ranges.
 const jobProgressBytes = 60
 
 // progressWriter stages the progress segments that a plan writes. Only the partition's leader writes
-// them, so a job's progress may be in any of them. A staged segment is written whole with the joint
-// changes, and is deducted from the plan's budget when it is staged.
+// them, so a part of a job's progress may be in any of them, but each segment has one part of a job at most. A staged
+// segment is written whole with the joint changes, and is deducted from the plan's budget when it is staged.
+//
+// It guarantees that no write takes a stored completion out of the store: what a segment lists stays in it, unless
+// another segment that is written in the same transaction lists it.
 type progressWriter struct {
 	plan     *plan
 	segments map[string]*stagedSegment // by key
-	movedTo  map[string]string         // by job: key of the segment that this plan has moved its progress to
+	written  map[progressSlot]bool     // parts that this plan has staged
 }
 
+// progressSlot is the place of a job's part in a segment.
+type progressSlot struct{ job, segment string }
+
 // stagedSegment is a progress segment as the plan will write it.
 type stagedSegment struct {
 	jobs map[string]schema.JobProgress
@@ -31,12 +33,31 @@
 }
 
 func newProgressWriter(p *plan) *progressWriter {
-	return &progressWriter{plan: p, segments: map[string]*stagedSegment{}, movedTo: map[string]string{}}
+	return &progressWriter{plan: p, segments: map[string]*stagedSegment{}, written: map[progressSlot]bool{}}
+}
+
+// isStaged reports whether the plan writes a segment anyway.
+func (w *progressWriter) isStaged(segment *progressSegment) bool {
+	return segment != nil && w.segments[segment.key] != nil
 }
 
-// segmentStaged reports whether the plan writes the segment with the job's progress anyway.
-func (w *progressWriter) segmentStaged(j *job) bool {
-	return j.progressSegment != nil && w.segments[j.progressSegment.key] != nil
+// anyStaged reports whether the plan writes a segment with a part of the job's progress anyway.
+func (w *progressWriter) anyStaged(j *job) bool {
+	return slices.ContainsFunc(j.progressSegments, w.isStaged)
+}
+
+// alreadyStored reports whether this plan has staged the part already. All of a job's progress may be in segments that must
+// not be written any more: it is moved out of them first (emptyOversizedSegments).
+func (w *progressWriter) alreadyStored(j *job, part *progressPart) bool {
+	if part.segment == nil {
+		return len(j.progressSegments) > 0
+	}
+	return w.written[progressSlot{j.id, part.segment.key}]
+}
+
+// progressCost returns an upper estimate of the stored size of a job's progress.
+func progressCost(j *job, progress schema.JobProgress) int {
+	return len(progress.DoneRanges) + len(j.id) + jobProgressBytes
 }
 
 // segment returns a staged segment, which it stages first if necessary, without the jobs that are over.
@@ -46,12 +67,10 @@
 	}
 	staged := &stagedSegment{jobs: map[string]schema.JobProgress{}}
 	if stored := w.plan.replica.progressSegments[key]; stored != nil {
-		staged.size = stored.size
+		staged.size = w.liveSize(stored)
 		for id, progress := range stored.jobs {
-			if j := w.plan.replica.acceptedJob(id); j != nil {
+			if w.plan.replica.acceptedJob(id) != nil {
 				staged.jobs[id] = progress
-			} else {
-				staged.size -= len(id) + len(progress.DoneRanges)
 			}
 		}
 	}
@@ -61,95 +80,176 @@
 	return staged
 }
 
+// liveSize returns the size of a stored segment without the jobs that are over.
+func (w *progressWriter) liveSize(stored *progressSegment) int {
+	size := stored.size
+	for id, progress := range stored.jobs {
+		if w.plan.replica.acceptedJob(id) == nil {
+			size -= len(id) + len(progress.DoneRanges)
+		}
+	}
+	return size
+}
+
 // setProgress sets a job's progress in a staged segment, whose size grows by growth bytes.
-func (w *progressWriter) setProgress(staged *stagedSegment, id string, progress schema.JobProgress, growth int) {
-	staged.jobs[id] = progress
+func (w *progressWriter) setProgress(key string, j *job, progress schema.JobProgress, growth int) {
+	staged := w.segment(key)
+	staged.jobs[j.id] = progress
 	staged.size += growth
 	w.plan.budget.takeBytes(growth)
+	w.written[progressSlot{j.id, key}] = true
 }
 
-// remove removes a job's progress from its segment.
-func (w *progressWriter) remove(j *job) { delete(w.segment(j.progressSegment.key).jobs, j.id) }
+// remove removes a job's progress from a segment.
+func (w *progressWriter) remove(j *job, segment *progressSegment) {
+	delete(w.segment(segment.key).jobs, j.id)
+}
+
+// ownValueBytes is the longest progress that fits into a segment of its own.
+func (w *progressWriter) ownValueBytes() int {
+	return w.plan.store.limits.maxValueBytes() - documentOverheadBytes
+}
+
+// storePart stages a part of a job's progress with its unstored completions, or with the first of them if all are too
+// many. It returns how many it has staged.
+func (w *progressWriter) storePart(j *job, part *progressPart) int {
+	for added := part.unstored; !added.Empty(); added, _ = added.Halves() {
+		staged, fits := w.stageCompletions(j, part.segment, part.stored.Union(added))
+		if staged {
+			return added.Len()
+		}
+		if fits {
+			return 0
+		}
+	}
+	return 0
+}
 
-// put stages a job's progress in the segment that has it, or in another if that one is full. It reports
-// whether the plan had space for the progress.
-func (w *progressWriter) put(j *job, progress schema.JobProgress) bool {
-	if key, moved := w.movedTo[j.id]; moved {
-		return w.putAgain(w.segments[key], j, progress)
+// stageCompletions stages the completions of a part of a job's progress. A part that has grown too long for a value is
+// divided. It reports whether the plan had space for them, and whether one value, or two for a divided part, may be that long.
+func (w *progressWriter) stageCompletions(j *job, segment *progressSegment, done schema.TaskSet) (staged, fits bool) {
+	progress := progressOf(j, done)
+	if progressCost(j, progress) <= w.ownValueBytes() {
+		return w.put(j, progress, segment), true
+	}
+	if segment == nil || progressCost(j, progress) > 2*w.ownValueBytes() {
+		return false, false
 	}
-	cost := len(progress.DoneRanges) + len(j.id) + jobProgressBytes
-	segment := j.progressSegment
-	if segment == nil || w.plan.oversized(segment) { // an oversized segment must not be written any more
-		return w.putElsewhere(j, progress, cost, nil)
+	lowerHalf, upperHalf := done.Halves()
+	lower, upper := progressOf(j, lowerHalf), progressOf(j, upperHalf)
+	if max(progressCost(j, lower), progressCost(j, upper)) > w.ownValueBytes() {
+		return false, false
+	}
+	return w.divide(j, segment, lower, upper), true
+}
+
+// progressOf returns the stored form of completions of a job, with the average run time of its tasks.
+func progressOf(j *job, done schema.TaskSet) schema.JobProgress {
+	average, samples := j.average()
+	return schema.JobProgress{DoneRanges: done.String(), AverageSeconds: average.Seconds(), Samples: samples}
+}
+
+// put stages a job's progress in the segment that has it, which is nil if none has, or in another if that one is full.
+// It reports whether the plan had space for the progress.
+func (w *progressWriter) put(j *job, progress schema.JobProgress, segment *progressSegment) bool {
+	if segment == nil {
+		return w.putElsewhere(j, progress, nil)
 	}
-	if !w.mayWrite(segment, cost) {
+	if !w.mayWrite(segment, growthOf(j, progress, segment)) {
 		return false
 	}
-	if w.putInPlace(j, progress, cost) {
+	if w.putInPlace(j, progress, segment) {
 		return true
 	}
-	if w.plan.budget.jointLeft() < 2 && w.segments[segment.key] == nil {
+	if w.plan.budget.jointLeft() < 2 && !w.isStaged(segment) {
 		return false
 	}
-	return w.putElsewhere(j, progress, cost, segment)
+	return w.putElsewhere(j, progress, segment)
 }
 
-// putAgain replaces the progress of a job that this plan has already moved to another segment.
-func (w *progressWriter) putAgain(staged *stagedSegment, j *job, progress schema.JobProgress) bool {
-	growth := len(progress.DoneRanges) - len(staged.jobs[j.id].DoneRanges)
-	if staged.size+growth >= w.plan.store.limits.maxValueBytes() {
+// divide stages the lower half of a part of a job's progress in its present segment and the upper half in another. It
+// reports whether the plan had space for both.
+func (w *progressWriter) divide(j *job, segment *progressSegment, lower, upper schema.JobProgress) bool {
+	upperKey := w.segmentWithSpace(j, progressCost(j, upper))
+	if upperKey == "" || w.plan.commits.isInFlight(segment.key) {
 		return false
 	}
-	w.setProgress(staged, j.id, progress, growth)
-	return true
+	price := w.price(upperKey, progressCost(j, upper)).plus(w.price(segment.key, growthOf(j, lower, segment)))
+	return w.affords(price) && w.putElsewhere(j, upper, nil) && w.put(j, lower, segment)
 }
 
-// mayWrite reports whether this plan can write a stored segment to which it adds cost bytes.
-func (w *progressWriter) mayWrite(segment *progressSegment, cost int) bool {
-	if w.plan.commits.isInFlight(segment.key) {
-		return false
+// writePrice is what a write takes of a plan's budget.
+type writePrice struct{ changes, bytes int }
+
+func (p writePrice) plus(other writePrice) writePrice {
+	return writePrice{p.changes + other.changes, p.bytes + other.bytes}
+}
+
+// price returns what it takes to write a segment that grows by growth bytes.
+func (w *progressWriter) price(key string, growth int) writePrice {
+	if w.segments[key] != nil {
+		return writePrice{bytes: growth}
 	}
-	budget := &w.plan.budget
-	return w.segments[segment.key] != nil || budget.jointLeft() >= 1 && budget.bytes >= segment.size+documentOverheadBytes+cost
+	price := writePrice{changes: 1, bytes: growth + documentOverheadBytes}
+	if stored := w.plan.replica.progressSegments[key]; stored != nil {
+		price.bytes += stored.size
+	}
+	return price
+}
+
+// affords reports whether the plan's budget has space for a write.
+func (w *progressWriter) affords(price writePrice) bool {
+	return w.plan.budget.jointLeft() >= price.changes && w.plan.budget.bytes >= price.bytes
+}
+
+// mayWrite reports whether this plan can write a stored segment that grows by growth bytes.
+func (w *progressWriter) mayWrite(segment *progressSegment, growth int) bool {
+	return !w.plan.commits.isInFlight(segment.key) && (w.isStaged(segment) || w.affords(w.price(segment.key, growth)))
+}
+
+// growthOf returns by how many bytes a segment with a part of a job's progress grows if the part is replaced.
+func growthOf(j *job, progress schema.JobProgress, segment *progressSegment) int {
+	return progressCost(j, progress) - len(segment.jobs[j.id].DoneRanges)
 }
 
 // putInPlace stages a job's progress in its present segment, unless that would become too long.
-func (w *progressWriter) putInPlace(j *job, progress schema.JobProgress, cost int) bool {
-	segment := j.progressSegment
-	growth := cost - len(segment.jobs[j.id].DoneRanges)
-	size := segment.size
+func (w *progressWriter) putInPlace(j *job, progress schema.JobProgress, segment *progressSegment) bool {
+	growth := growthOf(j, progress, segment)
+	size := 0
 	if staged := w.segments[segment.key]; staged != nil {
 		size = staged.size
+	} else {
+		size = w.liveSize(segment)
 	}
 	if size+growth >= w.plan.store.limits.maxValueBytes() {
 		return false
 	}
-	w.setProgress(w.segment(segment.key), j.id, progress, growth)
+	w.setProgress(segment.key, j, progress, growth)
 	return true
 }
 
 // putElsewhere stages a job's progress in a segment with space for it, and removes it from segment from;
 // if from is nil, the segment that it was in stays as it is.
-func (w *progressWriter) putElsewhere(j *job, progress schema.JobProgress, cost int, from *progressSegment) bool {
-	budget := &w.plan.budget
-	key := w.segmentWithSpace(cost)
-	if key == "" || w.segments[key] == nil && budget.jointLeft() < 1 || budget.bytes < cost+documentOverheadBytes {
+func (w *progressWriter) putElsewhere(j *job, progress schema.JobProgress, from *progressSegment) bool {
+	cost := progressCost(j, progress)
+	key := w.segmentWithSpace(j, cost)
+	if key == "" || !w.affords(w.price(key, cost)) {
 		return false
 	}
 	if from != nil {
-		w.remove(j)
+		w.remove(j, from)
 	}
-	w.setProgress(w.segment(key), j.id, progress, cost)
-	w.movedTo[j.id] = key
+	w.setProgress(key, j, progress, cost)
 	return true
 }
 
-// segmentWithSpace returns the key of a segment with space for cost bytes: one that is written anyway, or
-// else the first with space, or else a new one. The key is empty if no stored value may be that long.
-func (w *progressWriter) segmentWithSpace(cost int) string {
+// segmentWithSpace returns the key of a segment with space for cost bytes of a job that it does not have a part of: one
+// that is written anyway, or else the first with space, or else a new one. The key is empty if no stored value may be
+// that long.
+func (w *progressWriter) segmentWithSpace(j *job, cost int) string {
 	maxBytes := w.plan.store.limits.maxValueBytes()
 	for _, key := range w.changedKeys() {
-		if w.segments[key].size+cost < maxBytes {
+		if w.segments[key].size+cost < maxBytes && !w.hasPart(key, j) {
 			return key
 		}
 	}
@@ -160,17 +260,27 @@
 		}
 		stored := w.plan.replica.progressSegments[key]
 		if stored == nil {
-			if cost+documentOverheadBytes > maxBytes {
+			if cost > w.ownValueBytes() {
 				return ""
 			}
 			return key
 		}
-		if stored.size+cost < maxBytes*2/3 { // leaves space for the growth of the progress in it
+		if w.liveSize(stored)+cost < maxBytes*2/3 && !w.hasPart(key, j) { // leaves space for the growth of the progress in it
 			return key
 		}
 	}
 }
 
+// hasPart reports whether a segment, as stored or as staged, has a part of a job's progress.
+func (w *progressWriter) hasPart(key string, j *job) bool {
+	if staged := w.segments[key]; staged != nil {
+		if _, has := staged.jobs[j.id]; has {
+			return true
+		}
+	}
+	return slices.ContainsFunc(j.progressSegments, func(segment *progressSegment) bool { return segment.key == key })
+}
+
 // changedKeys returns the keys of the segments to be written, in order.
 func (w *progressWriter) changedKeys() []string { return slices.Sorted(maps.Keys(w.segments)) }
 
@@ -180,7 +290,7 @@
 }
 
 // emptyOversizedSegments moves progress out of segments that are too long to be written any more, and
-// then deletes these segments, which is possible at any length. Until then a job's progress may be in two
+// then deletes these segments, which is possible at any length. Until then a part of a job's progress may be in two
 // segments; that in either is valid.
 func (p *plan) emptyOversizedSegments() {
 	if !p.replica.dependenciesEnabled() {
@@ -199,18 +309,35 @@
 	}
 }
 
-// moveProgressOutOf moves the progress of a segment's jobs to other segments. It reports whether the plan
-// had space for all of it.
+// moveProgressOutOf moves the progress of a segment's jobs to other segments. It reports whether all of it is there, or
+// will be with this plan.
 func (p *plan) moveProgressOutOf(segment *progressSegment) bool {
 	for _, id := range slices.Sorted(maps.Keys(segment.jobs)) {
 		j := p.replica.acceptedJob(id)
-		if j != nil && j.progressSegment == segment && !p.progress.put(j, segment.jobs[id]) {
+		if j != nil && !p.progress.copyOutOf(segment, j) {
 			return false
 		}
 	}
 	return true
 }
 
+// copyOutOf copies the progress of a job that only a segment that must not be written has to another segment, or the
+// first part of it if all is too long. It reports whether that was all.
+func (w *progressWriter) copyOutOf(segment *progressSegment, j *job) bool {
+	rest := w.plan.storedOnlyIn(j, segment)
+	if rest.Empty() {
+		return true
+	}
+	progress := segment.jobs[j.id]
+	part := rest
+	progress.DoneRanges = part.String()
+	for progressCost(j, progress) > w.ownValueBytes() {
+		part, _ = part.Halves()
+		progress.DoneRanges = part.String()
+	}
+	return w.putElsewhere(j, progress, nil) && part.Len() == rest.Len()
+}
+
 // oversized reports whether a progress segment is longer than a stored value may be.
 func (p *planner) oversized(segment *progressSegment) bool {
 	return segment != nil && segment.size > p.store.limits.maxValueBytes()
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -51,7 +51,6 @@
 	progressSegments  map[string]*progressSegment
 	outcomes          *outcomeCache
 	dependencies      *dag.Graph
-	maxProgressGaps   int // maximum number of gaps in the stored progress of a job
 	firstRented       *schema.FirstMachine
 
 	layoutKnown      bool // the layout was read from the store
@@ -65,9 +64,8 @@
 type replicaObserver interface {
 	// partitionChanged is called after a change of a partition's leader.
 	partitionChanged(partition int)
-	// formatRaised is called after the store's format was raised; it returns how many gaps the stored
-	// progress of a job may have from now on.
-	formatRaised() int
+	// formatRaised is called after the store's format was raised.
+	formatRaised()
 	// jobAccepted and jobRemoved are called after a job has entered or left the accepted jobs.
 	jobAccepted(j *job)
 	jobRemoved(j *job)
@@ -101,7 +99,6 @@
 		unlocatedMachines: map[string]bool{}, unlocatedJobs: map[string]bool{},
 		jobs: map[string]*job{}, progressSegments: map[string]*progressSegment{},
 		outcomes: newOutcomeCache(maxOutcomes), dependencies: dag.New(),
-		maxProgressGaps: maxProgressGaps,
 	}
 	r.machineShards.newShard = func(n int) *machineShard {
 		return &machineShard{number: n, key: schema.MachineShardKey(n), partition: defaultPartition(n)}
--- a/internal/controller/replica_jobs.go
+++ b/internal/controller/replica_jobs.go
@@ -2,28 +2,17 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
-	"strings"
 
 	"frostdock.example/frostdock/internal/schema"
-	"frostdock.example/frostdock/internal/units"
 )
 
-// progressSegment is a stored document with the progress of some of a partition's jobs.
-type progressSegment struct {
-	key       string
-	partition int
-	size      int // of the stored value, in bytes
-	jobs      map[string]schema.JobProgress
-}
-
 // job returns the record of a job, and creates an empty one if there is none.
 func (r *replica) job(id string) *job {
 	j := r.jobs[id]
 	if j == nil {
-		j = &job{id: id, bindings: map[int]binding{}, activeCount: -1, maxGaps: &r.maxProgressGaps}
+		j = &job{id: id, bindings: map[int]binding{}, activeCount: -1}
 		r.jobs[id] = j
 	}
 	return j
@@ -31,7 +20,7 @@
 
 // dropIfUnused deletes the record of a job that has nothing left in the store.
 func (r *replica) dropIfUnused(j *job) {
-	if !j.accepted && !j.cancellationShown && j.progressSegment == nil && len(j.bindings) == 0 {
+	if !j.accepted && !j.cancellationShown && len(j.progressSegments) == 0 && len(j.bindings) == 0 {
 		delete(r.jobs, j.id)
 	}
 }
@@ -168,70 +157,3 @@
 	outcome, known := r.outcomes.get(id)
 	return known && outcome.State == StageCancelled
 }
-
-// applyProgressSegment applies a progress segment's new contents; value is empty if it was deleted. It reports
-// whether the contents are readable.
-func (r *replica) applyProgressSegment(key string, value json.RawMessage) bool {
-	var doc schema.ProgressSegment
-	if len(value) > 0 && !r.env.decode(key, value, &doc) {
-		return false
-	}
-	previous := r.progressSegments[key]
-	segment := &progressSegment{key: key, size: len(value), jobs: doc.Jobs}
-	if _, err := fmt.Sscanf(strings.TrimPrefix(key, schema.ProgressPrefix), "%d/", &segment.partition); err != nil {
-		r.env.log.Error("unreadable key", "key", key)
-		return len(value) == 0
-	}
-	delete(r.progressSegments, key)
-	if len(doc.Jobs) > 0 {
-		r.progressSegments[key] = segment
-	}
-	readable := true
-	for id, progress := range doc.Jobs {
-		j := r.job(id)
-		j.progressSegment = segment
-		if err := j.addStoredProgress(progress); err != nil {
-			r.env.log.Error("unreadable progress", "job", id, "err", err)
-			readable = false
-		}
-	}
-	if previous != nil {
-		r.detachProgress(previous)
-	}
-	return readable
-}
-
-// detachProgress detaches the jobs whose progress is not in any segment since a segment was replaced.
-func (r *replica) detachProgress(replaced *progressSegment) {
-	for id := range replaced.jobs {
-		if j := r.jobs[id]; j != nil && j.progressSegment == replaced {
-			j.progressSegment = nil
-			r.dropIfUnused(j)
-		}
-	}
-}
-
-// addStoredProgress adds the progress that a segment stores for the job. While a job is being moved to
-// another segment, it is in both, and the progress in either is valid.
-func (j *job) addStoredProgress(progress schema.JobProgress) error {
-	if j.storedRanges == progress.DoneRanges {
-		return nil
-	}
-	stored, err := schema.ParseTaskSet(progress.DoneRanges)
-	if err != nil {
-		return fmt.Errorf("progress of %s: %w", j.id, err)
-	}
-	j.activeCount = -1
-	j.invalidateOccupancies()
-	j.done, j.storedRanges = j.done.Union(stored), progress.DoneRanges
-	j.allDone = j.allDone.Union(j.done)
-	if progress.Samples >= j.storedAverageCount {
-		j.storedAverage, j.storedAverageCount = units.FromSeconds(progress.AverageSeconds), progress.Samples
-	}
-	for n := range j.unstoredCompletions {
-		if stored.Contains(n) {
-			delete(j.unstoredCompletions, n)
-		}
-	}
-	return nil
-}
--- a/internal/controller/replica_observer.go
+++ b/internal/controller/replica_observer.go
@@ -16,10 +16,7 @@
 
 func (d *changeDispatcher) partitionChanged(partition int) { d.leaderships.partitionChanged(partition) }
 
-func (d *changeDispatcher) formatRaised() int {
-	d.store.limits.adoptTighter()
-	return progressGapsFor(d.store.limits.maxValueBytes())
-}
+func (d *changeDispatcher) formatRaised() { d.store.limits.adoptTighter() }
 
 func (d *changeDispatcher) jobAccepted(j *job) { d.dependencies.add(j) }
 
--- a/internal/controller/replica_shards.go
+++ b/internal/controller/replica_shards.go
@@ -51,7 +51,7 @@
 	if doc.Format > r.format {
 		r.format = doc.Format
 		r.env.log.Info("store format version", "format", doc.Format)
-		r.maxProgressGaps = r.observer.formatRaised()
+		r.observer.formatRaised()
 	}
 	return true
 }
--- a/internal/controller/replica_test.go
+++ b/internal/controller/replica_test.go
@@ -42,25 +42,30 @@
 	}
 }
 
-// TestManyGaps checks that a job with more gaps among its done tasks than may be stored goes on by
-// filling them: otherwise it would wait forever.
+// TestManyGaps checks that any task of a job may be started, whatever the gaps among its completed tasks and whether the
+// completions are stored, those in gaps first: a limit on the gaps would wait for a write that may never come (review/4).
 func TestManyGaps(t *testing.T) {
 	j := &job{id: "j-1", accepted: true, bindings: map[int]binding{}, activeCount: -1}
 	j.spec.Tasks = 1000
 	for n := 1; n < 900; n += 3 {
-		j.done = j.done.With(n)
+		if n < 450 {
+			j.done = j.done.Union(schema.NewTaskSet([]int{n}))
+		} else {
+			j.noteCompletion(n, 0)
+		}
 	}
 	m := &machine{name: "n-1"}
-	started := 0
+	previous, started := -1, 0
 	for n := j.nextUnbound(0); n >= 0; n = j.nextUnbound(n + 1) {
-		if n >= j.done.End() {
-			t.Fatalf("task %d would lengthen the stored ranges", n)
+		if n <= previous || n >= j.spec.Tasks || j.isDone(n) {
+			t.Fatalf("task %d is started after %d", n, previous)
 		}
 		j.addBinding(n, binding{m, 1})
+		previous = n
 		started++
 	}
-	if started == 0 || started > maxProgressGaps {
-		t.Errorf("%d tasks are started", started)
+	if started != j.spec.Tasks-300 || j.waiting() != 0 || j.nextUnbound(0) != -1 {
+		t.Errorf("%d tasks are started of %d that are open, %d wait", started, j.spec.Tasks-300, j.waiting())
 	}
 }
 
--- a/internal/schema/benchmark_test.go
+++ b/internal/schema/benchmark_test.go
@@ -43,13 +43,13 @@
 	}
 }
 
-func BenchmarkTaskSetWith(b *testing.B) {
+func BenchmarkTaskSetUnion(b *testing.B) {
 	set, err := ParseTaskSet("0-7,9,12-40,44,46,50-99")
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		set.With(45)
+		set.Union(NewTaskSet([]int{45}))
 	}
 }
--- a/internal/schema/task_set.go
+++ b/internal/schema/task_set.go
@@ -1,7 +1,6 @@
 package schema
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -103,57 +102,94 @@
 	return count
 }
 
-// RangeCount returns the number of ranges, on which the stored size of the set depends.
-func (s TaskSet) RangeCount() int { return len(s.ranges) }
-
-// FirstMissing returns the smallest number, from 0 on, that is not in the set.
-func (s TaskSet) FirstMissing() int {
-	if len(s.ranges) > 0 && s.ranges[0].first == 0 {
-		return s.ranges[0].last + 1
+// NextMissing returns the smallest number from n on that is not in the set.
+func (s TaskSet) NextMissing(n int) int {
+	if i := s.search(n); i < len(s.ranges) && s.ranges[i].first <= n {
+		return s.ranges[i].last + 1
 	}
-	return 0
+	return n
 }
 
-// End returns one more than the largest number in the set; 0 for the empty set.
-func (s TaskSet) End() int {
+// First returns the smallest number in the set; 0 for the empty set.
+func (s TaskSet) First() int {
 	if len(s.ranges) == 0 {
 		return 0
 	}
-	return s.ranges[len(s.ranges)-1].last + 1
+	return s.ranges[0].first
+}
+
+// Empty reports whether the set has no numbers.
+func (s TaskSet) Empty() bool { return len(s.ranges) == 0 }
+
+// NewTaskSet returns the set of the given numbers, which must be sorted.
+func NewTaskSet(sorted []int) TaskSet {
+	var set TaskSet
+	for _, n := range sorted {
+		set.ranges = appendMerged(set.ranges, taskRange{n, n})
+	}
+	return set
+}
+
+// appendMerged appends a range that begins no earlier than the last one, or extends the last one if they meet.
+func appendMerged(ranges []taskRange, numbers taskRange) []taskRange {
+	if last := len(ranges) - 1; last >= 0 && numbers.first <= ranges[last].last+1 {
+		ranges[last].last = max(ranges[last].last, numbers.last)
+		return ranges
+	}
+	return append(ranges, numbers)
+}
+
+// SplitAt returns the numbers of the set below n, and those from n on.
+func (s TaskSet) SplitAt(n int) (below, from TaskSet) {
+	i := s.search(n)
+	below.ranges = slices.Clone(s.ranges[:i])
+	if i < len(s.ranges) && s.ranges[i].first < n {
+		below.ranges = append(below.ranges, taskRange{s.ranges[i].first, n - 1})
+		from.ranges = append(from.ranges, taskRange{n, s.ranges[i].last})
+		i++
+	}
+	from.ranges = append(from.ranges, s.ranges[i:]...)
+	return below, from
+}
+
+// Halves splits a set, which must not be empty, into two with about the same stored size. The lower one is
+// empty if the set has a single number.
+func (s TaskSet) Halves() (lower, upper TaskSet) {
+	if len(s.ranges) == 1 {
+		return s.SplitAt((s.ranges[0].first + s.ranges[0].last + 1) / 2)
+	}
+	return s.SplitAt(s.ranges[len(s.ranges)/2].first)
 }
 
-// With returns the set with n added.
-func (s TaskSet) With(n int) TaskSet {
-	if s.Contains(n) {
-		return s
-	}
-	i := s.search(n) // insertion point of n: after all ranges that end before it
-	extended := make([]taskRange, 0, len(s.ranges)+1)
-	extended = append(extended, s.ranges[:i]...)
-	extended = append(extended, taskRange{n, n})
-	extended = append(extended, s.ranges[i:]...)
-	if i+1 < len(extended) && extended[i+1].first == n+1 {
-		extended[i].last = extended[i+1].last
-		extended = append(extended[:i+1], extended[i+2:]...)
-	}
-	if i > 0 && extended[i-1].last == n-1 {
-		extended[i-1].last = extended[i].last
-		extended = append(extended[:i], extended[i+1:]...)
-	}
-	return TaskSet{extended}
+// Without returns the numbers that are in the set and not in the other one.
+func (s TaskSet) Without(other TaskSet) TaskSet {
+	var rest TaskSet
+	for _, numbers := range s.ranges {
+		for n := other.NextMissing(numbers.first); n <= numbers.last; {
+			last := numbers.last
+			if i := other.search(n); i < len(other.ranges) {
+				last = min(last, other.ranges[i].first-1)
+			}
+			rest.ranges = append(rest.ranges, taskRange{n, last})
+			n = other.NextMissing(last + 1)
+		}
+	}
+	return rest
 }
 
 // Union returns the numbers that are in either set.
 func (s TaskSet) Union(other TaskSet) TaskSet {
-	all := append(slices.Clone(s.ranges), other.ranges...)
-	slices.SortFunc(all, func(a, b taskRange) int { return cmp.Compare(a.first, b.first) })
-	var merged []taskRange
-	for _, numbers := range all {
-		if last := len(merged) - 1; last >= 0 && numbers.first <= merged[last].last+1 {
-			merged[last].last = max(merged[last].last, numbers.last)
-			continue
+	merged := make([]taskRange, 0, len(s.ranges)+len(other.ranges))
+	a, b := s.ranges, other.ranges
+	for len(a) > 0 && len(b) > 0 {
+		if a[0].first <= b[0].first {
+			merged, a = appendMerged(merged, a[0]), a[1:]
+		} else {
+			merged, b = appendMerged(merged, b[0]), b[1:]
 		}
-		merged = append(merged, numbers)
+	}
+	for _, numbers := range slices.Concat(a, b) { // one of them is empty
+		merged = appendMerged(merged, numbers)
 	}
 	return TaskSet{merged}
 }
--- a/internal/simulator/agent_tasks.go
+++ b/internal/simulator/agent_tasks.go
@@ -108,6 +108,9 @@
 	t.state = agent.Running
 	a.changed = true
 	a.world.checker.taskStarted(a.name, a.listed, t.jobID, t.number)
+	if a.world.store.progress.isStored(t.jobID, t.number) {
+		a.world.checker.repeatedStarts++
+	}
 	t.startedAt = now
 	switch {
 	case a.world.checker.isCompleted(t.jobID, t.number):
@@ -117,7 +120,7 @@
 	case job.failsEverywhere:
 		t.endsAt = now + brokenRunTime
 	default:
-		t.endsAt = now + units.FromSeconds(job.runSeconds*a.slowdown)
+		t.endsAt = now + units.FromSeconds(job.runTime(t.number)*a.slowdown)
 	}
 }
 
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -74,9 +74,10 @@
 	quota    map[string]resources           // by team; 0: no limit
 	usage    map[string]resources           // by team: resources of its tasks on machines
 
-	starts        int // task starts
-	polls         int
-	answeredPolls int
+	starts         int // task starts
+	repeatedStarts int // those of tasks whose completion was stored
+	polls          int
+	answeredPolls  int
 }
 
 // jobHistory is what the checker has observed of a job.
--- a/internal/simulator/expectations.go
+++ b/internal/simulator/expectations.go
@@ -156,6 +156,16 @@
 	return "", nil
 }
 
+// repeatedStarts expects a number of starts of tasks whose completion was stored.
+type repeatedStarts struct{ countRange }
+
+func (e repeatedStarts) check(w *World) (string, error) {
+	if !e.contains(w.checker.repeatedStarts) {
+		return fmt.Sprintf("%d tasks were started though their completion was stored", w.checker.repeatedStarts), nil
+	}
+	return "", nil
+}
+
 // machineCount expects that the number of machines present is in the range.
 type machineCount struct{ countRange }
 
--- a/internal/simulator/parser_expectations.go
+++ b/internal/simulator/parser_expectations.go
@@ -19,6 +19,7 @@
 	"kept":      func(*arguments) expectation { return noLeaseExpired{} },
 	"known":     func(args *arguments) expectation { return registeredMachines{parseRange(args)} },
 	"started":   func(args *arguments) expectation { return taskStarts{parseRange(args)} },
+	"repeated":  func(args *arguments) expectation { return repeatedStarts{parseRange(args)} },
 	"machines":  func(args *arguments) expectation { return machineCount{parseRange(args)} },
 	"format":    func(args *arguments) expectation { return documentFormat{args.count("is", 0)} },
 	"small":     func(*arguments) expectation { return sizesWithinLimits{} },
--- a/internal/simulator/parser_steps.go
+++ b/internal/simulator/parser_steps.go
@@ -153,6 +153,7 @@
 		firstNumber:         number,
 		count:               args.count("count", 1),
 		spec:                parseJob(args),
+		long:                longTasks{every: args.count("every", 0), runSeconds: args.number("longrun", 0)},
 		failsEverywhere:     args.flag("broken"),
 		ignoresDependencies: args.flag("atonce"),
 	}, nil
--- a/internal/simulator/steps.go
+++ b/internal/simulator/steps.go
@@ -26,6 +26,7 @@
 type submitJobs struct {
 	firstNumber, count  int
 	spec                schema.Job
+	long                longTasks
 	failsEverywhere     bool // their program has a bug: their tasks fail on every machine
 	ignoresDependencies bool // they are submitted immediately, before their dependencies are known to be accepted
 }
@@ -35,7 +36,7 @@
 		spec := s.spec
 		spec.ID = fmt.Sprintf("j-%06d", s.firstNumber+i)
 		spec.Types, spec.Needs = slices.Clone(spec.Types), slices.Clone(spec.Needs)
-		w.users.submit(&userJob{spec: spec, runSeconds: spec.EstimatedSeconds, failsEverywhere: s.failsEverywhere, ignoresDependencies: s.ignoresDependencies})
+		w.users.submit(&userJob{spec: spec, runSeconds: spec.EstimatedSeconds, long: s.long, failsEverywhere: s.failsEverywhere, ignoresDependencies: s.ignoresDependencies})
 	}
 	return nil
 }
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -30,6 +30,7 @@
 	leases    map[uint64]*storeLease
 	lastLease uint64
 
+	progress      storedProgress
 	log           []kv.Event // latest changes, for watches
 	historyLength int        // how many changes the log keeps
 	compactedRev  uint64     // the log no longer has changes up to this revision
@@ -91,6 +92,7 @@
 		unavailableUntil:      map[string]units.Micros{},
 		watchesLostUntil:      map[string]units.Micros{},
 		answerDelays:          map[string]units.Micros{},
+		progress:              storedProgress{segments: map[string]map[string]schema.TaskSet{}},
 	}
 	s.setLimits(options.limits)
 	w.every(leaseExpiryPeriod, s.expireLeases)
--- a/internal/simulator/store_txn.go
+++ b/internal/simulator/store_txn.go
@@ -87,6 +87,7 @@
 			s.log = append(s.log, kv.Event{Delete: op.Delete, ModRevision: s.revision})
 		}
 	}
+	s.noteProgress(operations)
 	s.compactLog()
 	s.notifyWatches()
 }
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -43,6 +43,7 @@
 type userJob struct {
 	spec                schema.Job
 	runSeconds          float64
+	long                longTasks
 	failsEverywhere     bool // its program has a bug: its tasks fail on every machine
 	ignoresDependencies bool // it is submitted before its dependencies are known to be accepted
 	rejectReason        rejectReason
@@ -53,6 +54,20 @@
 	stage               string // the last one reported to its user
 }
 
+// longTasks says which tasks of a job run longer than the others: those whose number is a multiple of every.
+type longTasks struct {
+	every      int // 0: none
+	runSeconds float64
+}
+
+// runTime returns how long a task of the job runs, in seconds.
+func (j *userJob) runTime(number int) float64 {
+	if j.long.every > 0 && number%j.long.every == 0 {
+		return j.long.runSeconds
+	}
+	return j.runSeconds
+}
+
 // over reports whether the job's user was told that the job is done or cancelled.
 func (j *userJob) over() bool { return j.stage == stageDone || j.stage == stageCancelled }
 
