--- a/internal/simulator/agent_commands.go
+++ b/internal/simulator/agent_commands.go
@@ -51,7 +51,7 @@
 	if previous != nil && previous.state != agent.Ended {
 		return // refused: controllers see the earlier attempt until it is removed
 	}
-	t := &task{jobID: jobID, number: number, attempt: command.Attempt, state: agent.Ended}
+	t := &task{id: taskID(jobID, number), jobID: jobID, number: number, attempt: command.Attempt, state: agent.Ended}
 	job := a.world.users.find(jobID)
 	switch {
 	case job == nil || number >= job.spec.Tasks:
@@ -62,7 +62,7 @@
 		t.state = agent.Pulling
 		t.imageReadyAt = a.world.now + a.fetchTime(job)
 	}
-	a.tasks[t.id()] = t
+	a.tasks[t.id] = t
 }
 
 // fetchTime returns how long fetching the job's image takes; 0 if the machine has the image.
--- a/internal/simulator/agent_heartbeat.go
+++ b/internal/simulator/agent_heartbeat.go
@@ -28,7 +28,7 @@
 	}
 	for _, t := range a.sortedTasks() {
 		heartbeat.Tasks = append(heartbeat.Tasks, agent.TaskStatus{
-			Task:            t.id(),
+			Task:            t.id,
 			Attempt:         t.attempt,
 			State:           t.state,
 			Cause:           t.cause,
--- a/internal/simulator/agent_tasks.go
+++ b/internal/simulator/agent_tasks.go
@@ -1,8 +1,9 @@
 package simulator
 
 import (
-	"sort"
+	"slices"
 	"strconv"
+	"strings"
 
 	"frostdock.example/frostdock/internal/agent"
 	"frostdock.example/frostdock/internal/units"
@@ -13,6 +14,7 @@
 
 // task is an attempt of a task on a machine.
 type task struct {
+	id           string // "j-1/3"
 	jobID        string
 	number       int
 	attempt      uint64
@@ -26,8 +28,6 @@
 
 func taskID(jobID string, number int) string { return jobID + "/" + strconv.Itoa(number) }
 
-func (t *task) id() string { return taskID(t.jobID, t.number) }
-
 // runs reports whether the task's program is running, also while it saves a checkpoint.
 func (t *task) runs() bool { return t.state == agent.Running || t.state == agent.Checkpointing }
 
@@ -36,7 +36,7 @@
 	for _, t := range a.tasks {
 		sorted = append(sorted, t)
 	}
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].id() < sorted[j].id() })
+	slices.SortFunc(sorted, func(x, y *task) int { return strings.Compare(x.id, y.id) })
 	return sorted
 }
 
@@ -44,7 +44,7 @@
 func (a *fakeAgent) dropTasks() {
 	for _, t := range a.sortedTasks() {
 		a.stopProgram(t)
-		delete(a.tasks, t.id())
+		delete(a.tasks, t.id)
 	}
 }
 
