--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -53,7 +53,6 @@
 	documentOverheadBytes = 200 // allowance for each document besides its entries
 	maxTransactionBytes   = 56 << 10
 	minPlanChanges        = 12 // always allowed to a plan with enough credit, in several transactions if one holds fewer
-	reservedChanges       = 4  // credit that placeArrays and later phases leave for accepts, cancellations and services
 	minPlanCredit         = 2  // write credit that a plan needs: one change for itself and one reserved for accepts
 
 	// planCostPerObject is the minimum time between a partition's plans, in microseconds for each machine
@@ -90,8 +89,8 @@
 	p.finishJobs(jobs)
 	p.drainReclaimed()
 	p.stageReleases()
-	if credit := p.writes.credit; credit > reservedChanges {
-		p.budget.limitChanges(int(credit) - reservedChanges)
+	if credit, reserved := p.writes.credit, p.writes.reservedChanges(); credit > reserved {
+		p.budget.limitChanges(int(credit - reserved))
 		p.placeArrays(jobs)
 		p.transferUnusedShards()
 		p.moveServices()
--- a/internal/controller/writebudget.go
+++ b/internal/controller/writebudget.go
@@ -23,6 +23,9 @@
 // job would ever finish.
 const minCreditCap = 8
 
+// maxReservedChanges is the upper bound of reservedChanges.
+const maxReservedChanges = 4
+
 // changeRateWeight is the weight of the last second in the moving average of changes.
 const changeRateWeight = 0.4
 
@@ -106,6 +109,10 @@
 // may overdraw the credit by one second's changes; all other writes wait until that is repaid.
 func (b *writeBudget) hasCredit() bool { return b.credit >= -b.store.limits.WriteRPS }
 
+// reservedChanges returns the credit that arrays leave for accepts, cancellations and services: at most half of all that
+// may accrue, as arrays would never be placed otherwise where the store permits few changes a second.
+func (b *writeBudget) reservedChanges() float64 { return min(maxReservedChanges, b.maxCredit/2) }
+
 // charge deducts the changes of a transaction from the credit. Repeats of a transaction are not charged.
 func (b *writeBudget) charge(operations []kv.Operation) {
 	b.credit -= float64(len(operations))
--- a/internal/simulator/long_progress_days_test.go
+++ b/internal/simulator/long_progress_days_test.go
@@ -1,6 +1,9 @@
 package simulator
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // TestLongProgress runs random scenarios with arrays whose tasks differ in length, so that their progress has many gaps and
 // often does not fit into a value, while machines die, leaders change and smaller limits take effect. Every array must
@@ -48,3 +51,29 @@
 	func(g *scenarioGenerator, at, duration float64) { g.at(at, "late_writes share=0.3 for=%.1f", duration) },
 	func(g *scenarioGenerator, at, duration float64) { g.at(at, "sick any n=2 for=%.1f after=0", duration) },
 }
+
+// TestLongProgressLimits plays the loss of machines and leaders of many_gaps with other limits of the key-value store: the
+// array goes on whatever the size of a value, of a transaction and the rate of changes, and does no task again.
+func TestLongProgressLimits(t *testing.T) {
+	for _, limits := range []string{
+		"value=1 ops=3 writes=6", "value=2 ops=12 writes=12", "value=4 ops=3 writes=3", "value=16 ops=12 writes=25", "value=64 ops=3 writes=40", "value=64 ops=12 writes=3",
+	} {
+		t.Run(limits, func(t *testing.T) {
+			t.Parallel()
+			runText(t, fmt.Sprintf(`set nodes=3 end=700 seed=3 lease=42 cancel=62 %s
+team red
+team blue
+type small cpus=16 mem=128 zones=a
+type large cpus=64 mem=256 zones=a
+machines small n=4
+machines large n=2
+at 5 submit j-1 n=2400 run=2 longrun=20 every=3 cpus=0.08 mem=0.1 gb=0
+at 19 die n-000004
+at 19 die n-000005
+at 40 crash node0 for=4
+at 60 crash node0,node1,node2 for=1
+expect done j-000001
+expect repeated max=0`, limits))
+		})
+	}
+}
--- a/internal/simulator/random_days_test.go
+++ b/internal/simulator/random_days_test.go
@@ -97,22 +97,27 @@
 	t.Helper()
 	t.Run(strconv.Itoa(seed), func(t *testing.T) {
 		t.Parallel()
-		text := generate(uint64(seed))
-		s, err := Parse(strings.NewReader(text))
-		if err != nil {
-			t.Fatalf("%v\n%s", err, text)
-		}
-		var log bytes.Buffer
-		s.Trace = traceFor(t)
-		problems, err := s.Run(&log)
-		if err != nil && !strings.Contains(err.Error(), "no machine") {
-			t.Fatalf("%v\n%s", err, text)
-		}
-		for _, problem := range problems {
-			t.Error(problem)
-		}
-		if (t.Failed() || testing.Verbose()) && os.Getenv("SCENARIO_LOG") != "" {
-			t.Log("\n" + text + log.String())
-		}
+		runText(t, generate(uint64(seed)))
 	})
 }
+
+// runText runs a scenario. A fault whose machine does not exist is skipped.
+func runText(t *testing.T, text string) {
+	t.Helper()
+	s, err := Parse(strings.NewReader(text))
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	var log bytes.Buffer
+	s.Trace = traceFor(t)
+	problems, err := s.Run(&log)
+	if err != nil && !strings.Contains(err.Error(), "no machine") {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	for _, problem := range problems {
+		t.Error(problem)
+	}
+	if (t.Failed() || testing.Verbose()) && os.Getenv("SCENARIO_LOG") != "" {
+		t.Log("\n" + text + log.String())
+	}
+}
