--- a/internal/controller/long_progress_test.go
+++ b/internal/controller/long_progress_test.go
@@ -35,6 +35,7 @@
 		keys: map[string]kv.KeyValue{}, requestCounts: map[kv.RequestKind]int{}, checkConditions: true,
 		maxValueBytes: int(limits.ValueKB * 1024), maxTxnOps: limits.TxnOps,
 	}}
+	s.c.replica.format = schema.FormatDependencies
 	s.lead(tasks)
 	return s
 }
@@ -171,6 +172,31 @@
 	}
 }
 
+// TestLongProgressBeforeUpgrade guards against tasks that a leader of the version in production does again although their
+// completion was stored: that version takes the last segment that it is shown for all of a job's progress. Until all
+// members know better, the progress is in one segment, with as many completions as fit; then all are stored.
+func TestLongProgressBeforeUpgrade(t *testing.T) {
+	const tasks = 6_000
+	s := newProgressStore(t, config.KVLimits{RPS: 250, WriteRPS: 25, ValueKB: 4, TxnOps: 12}, tasks)
+	s.c.replica.format = schema.FormatInitial
+	var done []int
+	for n := 0; n < tasks; n += 2 {
+		s.job.noteCompletion(n, units.Second)
+		done = append(done, n)
+	}
+	for range 100 {
+		s.c.now += progressFlushPeriod
+		s.plan()
+	}
+	s.check(s.job.done)
+	if stored := s.job.done.Len(); len(s.fake.keys) != 1 || stored < 500 || s.bytes > 100<<10 {
+		t.Errorf("%d completions in %d segments, %d KB written", stored, len(s.fake.keys), s.bytes>>10)
+	}
+	s.c.replica.format = schema.FormatDependencies
+	s.flush()
+	s.check(schema.NewTaskSet(done))
+}
+
 // complete has the job's tasks complete in an order, in several rounds of which each ends with a flush.
 func (s *progressStore) complete(order []int) {
 	s.t.Helper()
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -126,13 +126,15 @@
 }
 
 // stageCompletions stages the completions of a part of a job's progress. A part that has grown too long for a value is
-// divided. It reports whether the plan had space for them, and whether one value, or two for a divided part, may be that long.
+// divided, once all members unite the completions of several segments: to the first version, the last segment that it is
+// shown has all of them. It reports whether the plan had space for them, and whether one value, or two for a divided part,
+// may be that long.
 func (w *progressWriter) stageCompletions(j *job, segment *progressSegment, done schema.TaskSet) (staged, fits bool) {
 	progress := progressOf(j, done)
 	if progressCost(j, progress) <= w.ownValueBytes() {
 		return w.put(j, progress, segment), true
 	}
-	if segment == nil || progressCost(j, progress) > 2*w.ownValueBytes() {
+	if segment == nil || !w.plan.replica.dependenciesEnabled() || progressCost(j, progress) > 2*w.ownValueBytes() {
 		return false, false
 	}
 	lowerHalf, upperHalf := done.Halves()
--- a/internal/simulator/stored_progress.go
+++ b/internal/simulator/stored_progress.go
@@ -34,6 +34,17 @@
 	return false
 }
 
+// segmentCount returns how many segments have a part of a job's progress.
+func (p *storedProgress) segmentCount(job string) int {
+	count := 0
+	for _, jobs := range p.segments {
+		if _, has := jobs[job]; has {
+			count++
+		}
+	}
+	return count
+}
+
 // apply applies an operation on a progress segment. A document that cannot be decoded is reported by checkStored.
 func (p *storedProgress) apply(operation kv.Operation) {
 	key := operation.Set + operation.Delete
@@ -52,7 +63,8 @@
 }
 
 // noteProgress applies the operations on progress segments, and reports stored completions of jobs that are not over and
-// that no segment has afterwards: they would be done again after the next change of the leader.
+// that no segment has afterwards: they would be done again after the next change of the leader. Processes of the previous
+// version know only one segment of a job, so a job must not be in several before the format is raised.
 func (s *fakeStore) noteProgress(operations []kv.Operation) {
 	var changed []kv.Operation
 	before := map[string]schema.TaskSet{}
@@ -69,6 +81,13 @@
 	for _, operation := range changed {
 		s.progress.apply(operation)
 	}
+	for _, operation := range changed {
+		for _, id := range slices.Sorted(maps.Keys(s.progress.segments[operation.Set])) {
+			if count := s.progress.segmentCount(id); count > 1 && !s.formatRaised() {
+				s.world.checker.violate(RuleReadable, "progress of %s is in %d segments, of which the previous version knows one", id, count)
+			}
+		}
+	}
 	for _, id := range slices.Sorted(maps.Keys(before)) {
 		lost := before[id].Without(s.progress.completions(id))
 		if !lost.Empty() && s.keys[schema.OutcomePrefix+id] == nil {
