--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -125,3 +125,31 @@
 		t.Error("not registered")
 	}
 }
+
+// TestRegistrationExpiredBeforeAnswer guards against a process that counts itself as registered although it knows that it
+// is not: the watch has shown the registration and the end of its lease before the answer to the write. Conditions that
+// the registration is unchanged would then hold because there is none. A registration that is still there counts.
+func TestRegistrationExpiredBeforeAnswer(t *testing.T) {
+	const written = 21
+	for name, expired := range map[string]bool{"expired": true, "still there": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newPartitionLeader()
+			store := &scriptedStore{t: t, c: c}
+			key := c.membership.process().registrationKey()
+			c.membership.register()
+			store.answer(kv.Response{Status: kv.StatusOK, LeaseID: 7})
+			c.replica.apply(key, encode(schema.Registration{Incarnation: c.membership.incarnation}), written, false)
+			if expired {
+				c.replica.apply(key, nil, written+1, true)
+			}
+			c.replica.advance(written + 1)
+			store.answer(kv.Response{Status: kv.StatusOK, Revision: written})
+			if c.membership.registered == expired || c.authority.leadsAny() == expired {
+				t.Errorf("registered %v, leads %v", c.membership.registered, c.authority.leadsAny())
+			}
+			if again := c.membership.process().registrationKey() != key; again != expired {
+				t.Errorf("registers as a new incarnation: %v", again)
+			}
+		})
+	}
+}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -203,8 +203,12 @@
 }
 
 // acquire writes the document that makes a process the leader of a partition: this process, or another
-// one to which this process transfers a partition that it leads.
+// one to which this process transfers a partition that it leads. Both must be shown as registered: the condition that a
+// registration is unchanged would also hold for one that is gone.
 func (l *leadershipManager) acquire(partition int, leader processID) {
+	if !l.shownRegistered(l.membership.process()) || !l.shownRegistered(leader) {
+		return
+	}
 	writeTag := l.commits.newWriteTag()
 	doc := schema.Partition{Term: l.nextTerm(partition), Member: leader.member(), Incarnation: leader.incarnation(), WriteTag: writeTag}
 	txn := &kv.Txn{
@@ -256,6 +260,11 @@
 	return conditions
 }
 
+// shownRegistered reports whether the replica shows a process as registered.
+func (l *leadershipManager) shownRegistered(process processID) bool {
+	return l.replica.revisions[process.registrationKey()] > 0
+}
+
 // unchanged returns the condition that a key still has the revision that the replica shows.
 func (l *leadershipManager) unchanged(key string) kv.Condition {
 	return kv.Condition{Key: key, ModRevision: l.replica.revisions[key]}
--- a/internal/controller/leadership_test.go
+++ b/internal/controller/leadership_test.go
@@ -101,3 +101,32 @@
 		t.Errorf("released under the fencing token of the start, %d", starts[0].Commands.FencingToken)
 	}
 }
+
+// TestAcquireWithoutRegistration checks that no leadership is written for a process that the replica does not show as
+// registered: a condition that its registration is unchanged would hold because there is none. With the registrations
+// shown the leader is written.
+func TestAcquireWithoutRegistration(t *testing.T) {
+	other := newProcessID("b", "b.1")
+	for name, tc := range map[string]struct {
+		selfShown, otherShown, want bool
+	}{
+		"both are shown":             {true, true, true},
+		"this process has expired":   {false, true, false},
+		"the new leader has expired": {true, false, false},
+		"none of the two is shown":   {false, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newPartitionLeader()
+			if tc.selfShown {
+				c.replica.revisions[c.membership.process().registrationKey()] = 4
+			}
+			if tc.otherShown {
+				c.replica.revisions[other.registrationKey()] = 5
+			}
+			c.leaderships.acquire(0, other)
+			if written := len(c.effects) == 1; written != tc.want || c.partitions.led[0].commitsInFlight != len(c.effects) {
+				t.Errorf("written: %v, %d commits in flight", written, c.partitions.led[0].commitsInFlight)
+			}
+		})
+	}
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -109,6 +109,11 @@
 			return
 		}
 		m.replica.applyCommitted(txn.Operations, r.Revision)
+		if m.replica.revisions[key] == 0 { // the answer was so late that the replica shows the end of the lease already
+			m.abandonIncarnation()
+			m.register()
+			return
+		}
 		m.registered = true
 		m.log.Info("registered", "incarnation", m.incarnation)
 		m.renew()
