--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -222,3 +222,27 @@
 		t.Errorf("%d tasks fit, want 7", got)
 	}
 }
+
+// TestProgressMoveWithinBudget guards against transactions that are too large for the store: progress moves out of a full
+// segment only if the plan has bytes for that segment and for the one that it moves to.
+func TestProgressMoveWithinBudget(t *testing.T) {
+	for name, tc := range map[string]struct {
+		bytesForTarget int // bytes that the plan has left beside those for the full segment
+		want           bool
+	}{
+		"enough for both segments": {1000, true},
+		"enough for one":           {100, false},
+	} {
+		c, p := newTestPlan(t)
+		j := acceptJob(c, schema.Job{ID: "j-000002", Tasks: 100})
+		short := schema.JobProgress{DoneRanges: "0-3", Samples: 4}
+		full := &progressSegment{key: schema.ProgressKey(0, 7), size: c.store.limits.maxValueBytes() - 20, jobs: map[string]schema.JobProgress{j.id: short}}
+		c.replica.progressSegments[full.key] = full
+		j.progressSegments = []*progressSegment{full}
+		longer := schema.JobProgress{DoneRanges: "0-3,9", Samples: 5}
+		p.budget.bytes = full.size + documentOverheadBytes + growthOf(j, longer, full) + tc.bytesForTarget
+		if got := p.progress.put(j, longer, full); got != tc.want || got != (len(p.progress.changedKeys()) == 2) || p.budget.bytes < 0 {
+			t.Errorf("%s: moved %v, segments %v, %d bytes left", name, got, p.progress.changedKeys(), p.budget.bytes)
+		}
+	}
+}
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"frostdock.example/frostdock/internal/kv"
 	"frostdock.example/frostdock/internal/schema"
 )
 
@@ -80,17 +79,6 @@
 	return staged
 }
 
-// liveSize returns the size of a stored segment without the jobs that are over.
-func (w *progressWriter) liveSize(stored *progressSegment) int {
-	size := stored.size
-	for id, progress := range stored.jobs {
-		if w.plan.replica.acceptedJob(id) == nil {
-			size -= len(id) + len(progress.DoneRanges)
-		}
-	}
-	return size
-}
-
 // setProgress sets a job's progress in a staged segment, whose size grows by growth bytes.
 func (w *progressWriter) setProgress(key string, j *job, progress schema.JobProgress, growth int) {
 	staged := w.segment(key)
@@ -160,13 +148,7 @@
 	if !w.mayWrite(segment, growthOf(j, progress, segment)) {
 		return false
 	}
-	if w.putInPlace(j, progress, segment) {
-		return true
-	}
-	if w.plan.budget.jointLeft() < 2 && !w.isStaged(segment) {
-		return false
-	}
-	return w.putElsewhere(j, progress, segment)
+	return w.putInPlace(j, progress, segment) || w.putElsewhere(j, progress, segment)
 }
 
 // divide stages the lower half of a part of a job's progress in its present segment and the upper half in another. It
@@ -180,40 +162,11 @@
 	return w.affords(price) && w.putElsewhere(j, upper, nil) && w.put(j, lower, segment)
 }
 
-// writePrice is what a write takes of a plan's budget.
-type writePrice struct{ changes, bytes int }
-
-func (p writePrice) plus(other writePrice) writePrice {
-	return writePrice{p.changes + other.changes, p.bytes + other.bytes}
-}
-
-// price returns what it takes to write a segment that grows by growth bytes.
-func (w *progressWriter) price(key string, growth int) writePrice {
-	if w.segments[key] != nil {
-		return writePrice{bytes: growth}
-	}
-	price := writePrice{changes: 1, bytes: growth + documentOverheadBytes}
-	if stored := w.plan.replica.progressSegments[key]; stored != nil {
-		price.bytes += stored.size
-	}
-	return price
-}
-
-// affords reports whether the plan's budget has space for a write.
-func (w *progressWriter) affords(price writePrice) bool {
-	return w.plan.budget.jointLeft() >= price.changes && w.plan.budget.bytes >= price.bytes
-}
-
 // mayWrite reports whether this plan can write a stored segment that grows by growth bytes.
 func (w *progressWriter) mayWrite(segment *progressSegment, growth int) bool {
 	return !w.plan.commits.isInFlight(segment.key) && (w.isStaged(segment) || w.affords(w.price(segment.key, growth)))
 }
 
-// growthOf returns by how many bytes a segment with a part of a job's progress grows if the part is replaced.
-func growthOf(j *job, progress schema.JobProgress, segment *progressSegment) int {
-	return progressCost(j, progress) - len(segment.jobs[j.id].DoneRanges)
-}
-
 // putInPlace stages a job's progress in its present segment, unless that would become too long.
 func (w *progressWriter) putInPlace(j *job, progress schema.JobProgress, segment *progressSegment) bool {
 	growth := growthOf(j, progress, segment)
@@ -235,7 +188,11 @@
 func (w *progressWriter) putElsewhere(j *job, progress schema.JobProgress, from *progressSegment) bool {
 	cost := progressCost(j, progress)
 	key := w.segmentWithSpace(j, cost)
-	if key == "" || !w.affords(w.price(key, cost)) {
+	price := w.price(key, cost)
+	if from != nil {
+		price = price.plus(w.price(from.key, 0))
+	}
+	if key == "" || !w.affords(price) {
 		return false
 	}
 	if from != nil {
@@ -245,44 +202,6 @@
 	return true
 }
 
-// segmentWithSpace returns the key of a segment with space for cost bytes of a job that it does not have a part of: one
-// that is written anyway, or else the first with space, or else a new one. The key is empty if no stored value may be
-// that long.
-func (w *progressWriter) segmentWithSpace(j *job, cost int) string {
-	maxBytes := w.plan.store.limits.maxValueBytes()
-	for _, key := range w.changedKeys() {
-		if w.segments[key].size+cost < maxBytes && !w.hasPart(key, j) {
-			return key
-		}
-	}
-	for number := 0; ; number++ {
-		key := schema.ProgressKey(w.plan.leadership.partition, number)
-		if w.plan.commits.isInFlight(key) || w.segments[key] != nil {
-			continue
-		}
-		stored := w.plan.replica.progressSegments[key]
-		if stored == nil {
-			if cost > w.ownValueBytes() {
-				return ""
-			}
-			return key
-		}
-		if w.liveSize(stored)+cost < maxBytes*2/3 && !w.hasPart(key, j) { // leaves space for the growth of the progress in it
-			return key
-		}
-	}
-}
-
-// hasPart reports whether a segment, as stored or as staged, has a part of a job's progress.
-func (w *progressWriter) hasPart(key string, j *job) bool {
-	if staged := w.segments[key]; staged != nil {
-		if _, has := staged.jobs[j.id]; has {
-			return true
-		}
-	}
-	return slices.ContainsFunc(j.progressSegments, func(segment *progressSegment) bool { return segment.key == key })
-}
-
 // changedKeys returns the keys of the segments to be written, in order.
 func (w *progressWriter) changedKeys() []string { return slices.Sorted(maps.Keys(w.segments)) }
 
@@ -290,57 +209,3 @@
 func (w *progressWriter) document(key string) *schema.ProgressSegment {
 	return &schema.ProgressSegment{Jobs: w.segments[key].jobs, WriteTag: w.plan.writeTag}
 }
-
-// emptyOversizedSegments moves progress out of segments that are too long to be written any more, and
-// then deletes these segments, which is possible at any length. Until then a part of a job's progress may be in two
-// segments; that in either is valid.
-func (p *plan) emptyOversizedSegments() {
-	if !p.replica.dependenciesEnabled() {
-		return
-	}
-	for _, key := range slices.Sorted(maps.Keys(p.replica.progressSegments)) {
-		segment := p.replica.progressSegments[key]
-		if segment.partition != p.leadership.partition || !p.oversized(segment) || p.commits.isInFlight(key) {
-			continue
-		}
-		if !p.moveProgressOutOf(segment) || p.budget.jointLeft() < 1 {
-			return
-		}
-		p.log.Info("progress segment emptied", "segment", key, "bytes", segment.size)
-		p.addJoint(kv.Operation{Delete: key}, p.replica.revisions[key])
-	}
-}
-
-// moveProgressOutOf moves the progress of a segment's jobs to other segments. It reports whether all of it is there, or
-// will be with this plan.
-func (p *plan) moveProgressOutOf(segment *progressSegment) bool {
-	for _, id := range slices.Sorted(maps.Keys(segment.jobs)) {
-		j := p.replica.acceptedJob(id)
-		if j != nil && !p.progress.copyOutOf(segment, j) {
-			return false
-		}
-	}
-	return true
-}
-
-// copyOutOf copies the progress of a job that only a segment that must not be written has to another segment, or the
-// first part of it if all is too long. It reports whether that was all.
-func (w *progressWriter) copyOutOf(segment *progressSegment, j *job) bool {
-	rest := w.plan.storedOnlyIn(j, segment)
-	if rest.Empty() {
-		return true
-	}
-	progress := segment.jobs[j.id]
-	part := rest
-	progress.DoneRanges = part.String()
-	for progressCost(j, progress) > w.ownValueBytes() {
-		part, _ = part.Halves()
-		progress.DoneRanges = part.String()
-	}
-	return w.putElsewhere(j, progress, nil) && part.Len() == rest.Len()
-}
-
-// oversized reports whether a progress segment is longer than a stored value may be.
-func (p *planner) oversized(segment *progressSegment) bool {
-	return segment != nil && segment.size > p.store.limits.maxValueBytes()
-}
