--- a/internal/controller/replica_progress.go
+++ b/internal/controller/replica_progress.go
@@ -35,7 +35,7 @@
 	r.replaceSegment(previous, segment)
 	readable := true
 	for id, progress := range doc.Jobs {
-		if previous != nil && previous.jobs[id] == progress {
+		if previous != nil && previous.jobs[id] == progress && !r.unreadable[key] {
 			continue // its tasks are known already
 		}
 		if err := r.jobs[id].addStoredProgress(progress); err != nil {
--- a/internal/controller/replica_test.go
+++ b/internal/controller/replica_test.go
@@ -190,3 +190,24 @@
 		t.Errorf("bound to %+v without an entry", j.bindings[0])
 	}
 }
+
+// TestUnreadableProgressStaysUnreadable shows a replica a segment with progress that cannot be decoded, and then the segment
+// with other progress beside it, as a process of another version may write it: the segment is still not readable. Once
+// the progress can be decoded it is.
+func TestUnreadableProgressStaysUnreadable(t *testing.T) {
+	c, _ := newTestAccepts()
+	key := schema.ProgressKey(0, 0)
+	show := func(revision uint64, jobs map[string]schema.JobProgress) {
+		c.replica.apply(key, encode(schema.ProgressSegment{Jobs: jobs}), revision, false)
+	}
+	broken := schema.JobProgress{DoneRanges: "3-x"}
+	show(10, map[string]schema.JobProgress{"j-000005": broken})
+	show(11, map[string]schema.JobProgress{"j-000005": broken, "j-000006": {DoneRanges: "0-1"}})
+	if c.replica.allReadable() {
+		t.Error("counts as readable although the progress of a job is not")
+	}
+	show(12, map[string]schema.JobProgress{"j-000005": {DoneRanges: "3-4"}, "j-000006": {DoneRanges: "0-1"}})
+	if !c.replica.allReadable() || c.replica.jobs["j-000005"].done.Len() != 2 || c.replica.jobs["j-000006"].done.Len() != 2 {
+		t.Error("not known once it can be decoded")
+	}
+}
