--- a/internal/soak/agent_tasks.go
+++ b/internal/soak/agent_tasks.go
@@ -73,7 +73,7 @@
 	task.state, a.changed = agent.Running, true
 	a.world.checker.TaskStarted(a.listed.Name, a.listed.Zone, a.listed.Spot, task.jobID, task.index)
 	a.world.events.add("task %s attempt %d starts on %s", task.id, task.attempt, a.listed.Name)
-	task.dueAt = now.Add(job.runTime)
+	task.dueAt = now.Add(job.runTimeOf(task.index))
 	failingShare := failingArrayShare
 	if job.facts.Service {
 		failingShare = failingServiceShare
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -24,6 +24,8 @@
 	userCheckInterval = 50 * time.Millisecond
 	// finishCheckInterval is how often finish checks whether all jobs are over.
 	finishCheckInterval = 200 * time.Millisecond
+	// wideArrayFraction says when an array of many small tasks is submitted: after this fraction of the run.
+	wideArrayFraction = 5
 	// userRetryDelay is the delay before a user retries a request that did not succeed.
 	userRetryDelay = 500 * time.Millisecond
 	// minPollPause and maxPollPause bound the pause between polls of a job.
@@ -50,6 +52,7 @@
 			u.world.spawn(u.submitPipeline)
 		}
 	})
+	u.world.after(duration/wideArrayFraction, func() { u.submit(u.wideArray()) })
 	u.repeat(until, 200*time.Millisecond, time.Second, u.sendUnusualRequest)
 	u.repeat(until, 300*time.Millisecond, 1500*time.Millisecond, func() {
 		if id := u.recentJob(); id != "" {
@@ -72,14 +75,19 @@
 	return u.world.rng.between(low, high) * baseWorkers / time.Duration(max(baseWorkers, u.world.opts.Workers))
 }
 
-// recentJob draws the ID of one of the latest jobs, or returns "" if there is none.
+// recentJob draws the ID of one of the latest jobs, or returns "" if there is none, or if it is the wide array, which
+// nobody cancels.
 func (u *fakeUsers) recentJob() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(u.submitted) == 0 {
 		return ""
 	}
-	return pick(u.world.rng, u.submitted[max(0, len(u.submitted)-recentJobs):]...)
+	id := pick(u.world.rng, u.submitted[max(0, len(u.submitted)-recentJobs):]...)
+	if u.jobs[id].slow {
+		return ""
+	}
+	return id
 }
 
 // submit registers a job, sends it until it is accepted or rejected, and polls an accepted job from then on.
--- a/internal/soak/users_jobs.go
+++ b/internal/soak/users_jobs.go
@@ -10,10 +10,19 @@
 type userJob struct {
 	facts   JobFacts
 	runTime time.Duration
+	slow    bool // every second task runs for slowRunTime instead
 	grade   string
 	body    *submission
 }
 
+// runTimeOf returns how long a task of the job runs.
+func (j *userJob) runTimeOf(index int) time.Duration {
+	if j.slow && index%2 == 0 {
+		return slowRunTime
+	}
+	return j.runTime
+}
+
 // Reasons why a job must not be accepted.
 const (
 	fitsNoMachine RejectReason = "fits no machine"
@@ -36,12 +45,15 @@
 	maxMiddleTasks   = 8 // of each of the jobs in the middle of a pipeline
 	maxTasks         = 12
 	hugeCPUs         = 1000 // more than any machine has
+	wideTasks        = 1200 // of an array whose progress does not fit into a value after the limits were lowered
+	wideCPUs         = 0.02
 )
 
 // Run times of jobs.
 const (
 	minRunTime, maxRunTime                 = 500 * time.Millisecond, 5 * time.Second
 	minPipelineRunTime, maxPipelineRunTime = 300 * time.Millisecond, 2 * time.Second
+	wideRunTime, slowRunTime               = 200 * time.Millisecond, 6 * time.Second
 )
 
 // pipelineCheckInterval is how often awaitAccepted checks whether the jobs are accepted.
@@ -125,6 +137,13 @@
 	return job
 }
 
+// wideArray returns an array of many small tasks, every second of which is slow, so that its progress has many gaps.
+func (u *fakeUsers) wideArray() *userJob {
+	job := u.newJob(wideTasks, wideRunTime)
+	job.facts.CPUs, job.facts.Zone, job.slow = wideCPUs, "", true
+	return job
+}
+
 // drawDependency returns the ID of an accepted recent job, which may be over or cancelled, or nil.
 func (u *fakeUsers) drawDependency() []string {
 	id := u.recentJob()
