--- a/internal/controller/summary.go
+++ b/internal/controller/summary.go
@@ -10,7 +10,7 @@
 	jobs, calls := c.replica.countJobs(), c.agents.callWaits.take()
 	c.log.Info("summary", append(c.freshness.logAttrs(), "terms", c.partitions.terms(), "may_act", c.authority.mayAct(),
 		"invariants_violated", c.audit.violations, "store_ok", c.store.healthy(),
-		"jobs", jobs.accepted, "services", jobs.services, "tasks_waiting", jobs.tasksWaiting, "tasks_bound", jobs.tasksBound,
+		"jobs", jobs.accepted, "services", jobs.services, "tasks_waiting", jobs.tasksWaiting, "tasks_bound", jobs.tasksBound, "completions_unstored", jobs.completionsUnstored,
 		"machines", len(c.replica.machines), "machines_led", c.replica.countCommanded(),
 		"jobs_unlocated", len(c.replica.unlocatedJobs), "machines_unlocated", len(c.replica.unlocatedMachines),
 		"entries_undecided", c.facts.countUndecided(), "documents_unreadable", len(c.replica.unreadable),
@@ -19,7 +19,7 @@
 }
 
 // jobCounts counts the accepted jobs that are not cancelled, and their tasks.
-type jobCounts struct{ accepted, services, tasksWaiting, tasksBound int }
+type jobCounts struct{ accepted, services, tasksWaiting, tasksBound, completionsUnstored int }
 
 func (r *replica) countJobs() jobCounts {
 	var counts jobCounts
@@ -33,6 +33,7 @@
 		}
 		counts.tasksWaiting += j.waiting()
 		counts.tasksBound += len(j.bindings)
+		counts.completionsUnstored += len(j.unstoredCompletions)
 	}
 	return counts
 }
