--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -246,3 +246,30 @@
 		}
 	}
 }
+
+// TestDeletedSegmentTakesNoProgress guards against a transaction that deletes a segment and sets it: a segment that is too
+// long for the limits and has only jobs that are over counts as empty, and is deleted by the same plan. A segment that is
+// not too long takes progress in the place of such jobs.
+func TestDeletedSegmentTakesNoProgress(t *testing.T) {
+	for name, tc := range map[string]struct {
+		excess int // bytes by which the segment is longer than a value
+		want   bool
+	}{
+		"too long":  {1, false},
+		"just fits": {0, true},
+	} {
+		c, p := newTestPlan(t)
+		c.replica.format = schema.FormatDependencies
+		j := acceptJob(c, schema.Job{ID: "j-000002", Tasks: 100})
+		size := c.store.limits.maxValueBytes() + tc.excess
+		over := schema.JobProgress{DoneRanges: strings.Repeat("1", size)}
+		segment := &progressSegment{key: schema.ProgressKey(0, 0), size: size, jobs: map[string]schema.JobProgress{"j-000009": over}}
+		c.replica.progressSegments[segment.key] = segment
+		p.emptyOversizedSegments()
+		p.progress.put(j, schema.JobProgress{DoneRanges: "0-3"}, nil)
+		_, used := p.progress.segments[segment.key]
+		if deleted := len(p.joint.operations) == 1; used != tc.want || deleted == used || len(p.progress.changedKeys()) != 1 {
+			t.Errorf("%s: takes progress: %v, deleted: %v, staged %v", name, used, deleted, p.progress.changedKeys())
+		}
+	}
+}
--- a/internal/controller/progress_space.go
+++ b/internal/controller/progress_space.go
@@ -28,6 +28,9 @@
 			}
 			return key
 		}
+		if w.plan.oversized(stored) { // this plan may delete it
+			continue
+		}
 		if w.liveSize(stored)+cost < maxBytes*2/3 && !w.hasPart(key, j) { // leaves space for the growth of the progress in it
 			return key
 		}
